--- /dev/null
+++ b/src/coordination/election.cpp
@@ -0,0 +1,250 @@
+#include "coordination/election.hpp"
+
+#include <algorithm>
+
+#include "log.hpp"
+#include "storage/records.hpp"
+
+namespace larkroad::coordination {
+namespace {
+
+// The leader's lease, as a part of the workers' lease: a crashed leader is replaced well before
+// any worker's lease runs out.
+constexpr double kLeaseRatio = 1.0 / 6;
+constexpr double kRenewRatio = 1.0 / 4;   // of the leader's lease
+constexpr double kRetryRatio = 1.0 / 16;  // of the leader's lease
+// Steady clocks drift apart by 0.05%; twice that, and a step of a timer, is kept as a margin.
+constexpr double kDrift = 0.001;
+constexpr Seconds kTimerStep = 0.02;
+// What is kept free between the end of a retained worker's lease and the time a cancellation has.
+constexpr double kRetentionMargin = 0.15;  // of the workers' lease
+
+}  // namespace
+
+Election::Election(transport::Clock& clock, storage::StateClient& state, const Settings& settings,
+                   Events events)
+    : clock_(clock),
+      state_(state),
+      settings_(settings),
+      events_(std::move(events)),
+      life_(settings.lease_s * kLeaseRatio),
+      retention_(std::max(
+          0.0, settings.cancel_s - settings.lease_s * (1 + kRetentionMargin + 2 * kDrift))) {}
+
+void Election::start() { look(); }
+
+bool Election::leads() const {
+  return token_ != 0 && clock_.now() < renewed_at_ + life_ * (1 - kDrift) - kTimerStep;
+}
+
+bool Election::may_answer_reports() const {
+  return token_ != 0 && clock_.now() < renewed_at_ + std::max(life_, retention_) * (1 - kDrift);
+}
+
+void Election::look() {
+  state_.get(storage::kLeaderKey, [this](Status status, storage::Entry entry) {
+    if (status == Status::ok) {
+      watched_to_ = std::max(watched_to_, entry.mark);
+      saw(entry.mark, entry.data);
+      watch();
+    } else if (status == Status::missing) {
+      saw_none();
+      watch();
+    } else {
+      clock_.after(life_ * kRetryRatio, [this] { look(); });
+    }
+  });
+}
+
+void Election::watch() {
+  // Short blocks: a watch that a cut swallowed must not hide a change of leader for long.
+  state_.watch(storage::kLeaderKey, watched_to_, life_, [this](storage::WatchReply reply) {
+    if (reply.status == Status::ok) {
+      watched_to_ = std::max(watched_to_, reply.revision);
+      if (!reply.events.empty()) {
+        const auto& last = reply.events.back();
+        if (last.dropped) {
+          saw_none();
+        } else {
+          saw(last.mark, last.data);
+        }
+      } else if (leader_.empty() && token_ == 0) {
+        campaign(0);
+      }
+      watch();
+      return;
+    }
+    if (reply.status == Status::too_old) {
+      look();
+      return;
+    }
+    clock_.after(life_ * kRetryRatio, [this] { look(); });
+  });
+}
+
+void Election::saw(std::uint64_t mark, const storage::Json& data) {
+  if (mark < leader_mark_) return;
+  leader_mark_ = mark;
+  leader_ = protocol::text(data, "member");
+  if (token_ != 0) {
+    const bool mine = leader_ == settings_.member &&
+                      protocol::integer(data, "lease") == lease_;
+    if (!mine && mark > token_) lose("a newer leader holds the key: " + leader_);
+    return;
+  }
+  if (leader_ == settings_.member && !campaigning_) {
+    // A key of this member's earlier life: that process has ended, so nobody else can act on it.
+    campaign(mark);
+  }
+}
+
+void Election::saw_none() {
+  leader_.clear();
+  if (token_ != 0) {
+    lose("the key is gone");
+  }
+  campaign(0);
+}
+
+void Election::campaign(std::uint64_t replaced_mark) {
+  if (campaigning_ || token_ != 0) return;
+  campaigning_ = true;
+  grant_sent_ = clock_.now();
+  state_.grant(life_, [this, replaced_mark](Status status, std::uint64_t lease) {
+    if (status != Status::ok) {
+      campaigning_ = false;
+      return;  // the watch brings the next chance
+    }
+    lease_ = lease;
+    write_key(replaced_mark);
+  });
+}
+
+void Election::write_key(std::uint64_t replaced_mark) {
+  storage::Transaction txn;
+  txn.guards.push_back({storage::kLeaderKey, replaced_mark});
+  txn.writes.push_back({storage::kLeaderKey,
+                        {{"member", settings_.member}, {"lease", lease_}},
+                        lease_});
+  const auto wanted = [this] { return clock_.now() < grant_sent_ + life_; };
+  state_.settle(std::move(txn), wanted, [this](storage::CommitReply reply) {
+    campaigning_ = false;
+    if (reply.status == Status::ok) {
+      won(reply.revision);
+      return;
+    }
+    // Lost, or not known and the lease has run out: a late copy of this write then fails for
+    // want of its lease, or makes a key that ends with it.
+    state_.release(lease_);
+    lease_ = 0;
+  });
+}
+
+void Election::won(std::uint64_t mark) {
+  ++epoch_;
+  token_ = mark;
+  renewed_at_ = grant_sent_;
+  leader_ = settings_.member;
+  leader_mark_ = std::max(leader_mark_, mark);
+  spdlog::info("leads with token {}", token_);
+  events_.elected();
+  clock_.after(life_ * kRenewRatio, [this, epoch = epoch_] {
+    if (epoch == epoch_) renew();
+  });
+}
+
+void Election::renew() {
+  if (token_ == 0) return;
+  const Seconds sent = clock_.now();
+  state_.extend(lease_, [this, sent, epoch = epoch_](Status status) {
+    if (epoch != epoch_ || token_ == 0) return;
+    if (status == Status::missing) {
+      lose("its lease has ended");
+      campaign(0);
+      return;
+    }
+    Seconds pause = life_ * kRetryRatio;
+    if (status == Status::ok) {
+      pause = life_ * kRenewRatio;
+      if (leads()) {
+        renewed_at_ = std::max(renewed_at_, sent);
+      } else {
+        // Past its lease by its own clock, yet the lease is alive (an outage gives every lease
+        // its full time again). It acts again once it has seen that the key is still its own.
+        confirm();
+      }
+    }
+    clock_.after(std::max(0.0, pause - (clock_.now() - sent)), [this, epoch] {
+      if (epoch == epoch_) renew();
+    });
+  });
+}
+
+void Election::confirm() {
+  if (confirming_) return;
+  confirming_ = true;
+  const Seconds sent = clock_.now();
+  state_.get(storage::kLeaderKey, [this, sent, epoch = epoch_](Status status,
+                                                               storage::Entry entry) {
+    confirming_ = false;
+    if (epoch != epoch_ || token_ == 0) return;
+    if (status == Status::ok && entry.mark == token_) {
+      // The read proves the key was there after `sent`, and the lease was renewed before it.
+      state_.extend(lease_, [this, sent, epoch](Status renewed) {
+        if (epoch != epoch_ || token_ == 0 || renewed != Status::ok) return;
+        spdlog::info("leads again with token {}", token_);
+        renewed_at_ = std::max(renewed_at_, sent);
+      });
+    } else if (status == Status::ok || status == Status::missing) {
+      lose("the key is no longer its own");
+      if (status == Status::missing) campaign(0);
+    }
+  });
+}
+
+void Election::lose(const std::string& why) {
+  if (token_ == 0) return;
+  spdlog::info("no longer leads with token {}: {}", token_, why);
+  ++epoch_;
+  token_ = 0;
+  raising_ = false;
+  if (leader_ == settings_.member) leader_.clear();
+  if (lease_ != 0) state_.release(lease_);
+  lease_ = 0;
+  events_.deposed();
+}
+
+void Election::resign(const std::string& why) {
+  if (token_ == 0) return;
+  lose(why);
+}
+
+void Election::superseded(std::uint64_t token) {
+  if (token_ == 0 || token <= token_) return;
+  lose("a newer token has been seen: " + std::to_string(token));
+}
+
+void Election::raise_token() {
+  if (!leads() || raising_) return;
+  raising_ = true;
+  storage::Transaction txn;
+  txn.guards.push_back({storage::kLeaderKey, token_});
+  txn.writes.push_back({storage::kLeaderKey,
+                        {{"member", settings_.member}, {"lease", lease_}, {"raised", token_}},
+                        lease_});
+  state_.settle(
+      std::move(txn), [this, epoch = epoch_] { return epoch == epoch_ && token_ != 0; },
+      [this, epoch = epoch_](storage::CommitReply reply) {
+        if (epoch != epoch_ || token_ == 0) return;
+        raising_ = false;
+        if (reply.status == Status::ok) {
+          spdlog::info("raised its token from {} to {}", token_, reply.revision);
+          token_ = reply.revision;
+          leader_mark_ = std::max(leader_mark_, token_);
+        } else if (reply.status == Status::conflict) {
+          lose("the key has changed");
+        }
+      });
+}
+
+}  // namespace larkroad::coordination
--- /dev/null
+++ b/src/coordination/election.hpp
@@ -0,0 +1,78 @@
+// Leadership: one key under a lease in the state service. The key's mark is the token that the
+// workers obey, and every write of a leader is guarded by it.
+#pragma once
+
+#include <functional>
+#include <string>
+
+#include "settings.hpp"
+#include "storage/state_client.hpp"
+
+namespace larkroad::coordination {
+
+using storage::Status;
+using transport::Seconds;
+
+class Election {
+ public:
+  struct Events {
+    std::function<void()> elected;
+    std::function<void()> deposed;
+  };
+  Election(transport::Clock& clock, storage::StateClient& state, const Settings& settings,
+           Events events);
+  void start();
+
+  // Whether this node may act as the leader now: its lease, counted by its own clock from when
+  // the renewal was sent, is not over.
+  bool leads() const;
+  // Holds the key as far as it knows, though perhaps past its lease.
+  bool holds() const { return token_ != 0; }
+  // A leader that lost sight of the state service may go on answering reports, so that a short
+  // outage does not end all work; see docs/DESIGN.md for why this bound keeps cancellations safe.
+  bool may_answer_reports() const;
+  // How long after its last renewal a deposed leader may still have answered a report.
+  Seconds retention() const { return retention_; }
+  std::uint64_t token() const { return token_; }
+  // The leader's name, empty when not known.
+  const std::string& leader() const { return leader_; }
+  std::uint64_t leader_token() const { return leader_mark_; }
+  // Rewrites the key for a higher token, which fences every command sent under the present one.
+  void raise_token();
+  // Tells that a newer leader has been seen (by a worker's token or a peer).
+  void superseded(std::uint64_t token);
+  // Gives the leadership up, to start anew from what is recorded.
+  void resign(const std::string& why);
+
+ private:
+  void look();
+  void watch();
+  void campaign(std::uint64_t replaced_mark);
+  void write_key(std::uint64_t replaced_mark);
+  void won(std::uint64_t mark);
+  void renew();
+  void confirm();
+  void lose(const std::string& why);
+  void saw(std::uint64_t mark, const storage::Json& data);
+  void saw_none();
+
+  transport::Clock& clock_;
+  storage::StateClient& state_;
+  const Settings& settings_;
+  Events events_;
+  Seconds life_;
+  Seconds retention_;
+  std::uint64_t lease_ = 0;
+  std::uint64_t token_ = 0;
+  Seconds renewed_at_ = 0;
+  Seconds grant_sent_ = 0;
+  bool campaigning_ = false;
+  bool confirming_ = false;
+  bool raising_ = false;
+  std::string leader_;
+  std::uint64_t leader_mark_ = 0;
+  std::uint64_t watched_to_ = 0;
+  std::uint64_t epoch_ = 0;  // counts leaderships, so that late answers to an old one are known
+};
+
+}  // namespace larkroad::coordination
--- /dev/null
+++ b/src/coordination/fleet.hpp
@@ -0,0 +1,51 @@
+// How many machines of which kind to rent and to return. Functions of the ledger and the time.
+#pragma once
+
+#include <map>
+#include <string>
+#include <tuple>
+#include <vector>
+
+#include "coordination/ledger.hpp"
+
+namespace larkroad::coordination {
+
+// A market: machines of one type, in one zone, of one kind.
+struct Market {
+  std::string type;
+  std::string zone;
+  bool spot = false;
+  auto operator<=>(const Market&) const = default;
+};
+
+// What the cloud has lately refused; asked again after a pause that grows.
+class Refusals {
+ public:
+  void refused(const Market& market, Seconds now, Seconds first_pause, Seconds longest_pause);
+  void granted(const Market& market) { pauses_.erase(market); }
+  bool open(const Market& market, Seconds now) const;
+  void clear() { pauses_.clear(); }
+
+ private:
+  struct Pause {
+    Seconds until = 0;
+    Seconds length = 0;
+  };
+  std::map<Market, Pause> pauses_;
+};
+
+struct Rent {
+  Market market;
+  int count = 1;
+};
+
+struct FleetPlan {
+  std::vector<Rent> rent;
+  std::vector<std::string> give_back;
+};
+
+// `pending`: machines asked for without an answer so far.
+FleetPlan plan_fleet(Ledger& ledger, const Refusals& refusals,
+                     const std::map<Market, int>& pending, Seconds now);
+
+}  // namespace larkroad::coordination
--- /dev/null
+++ b/src/coordination/front.hpp
@@ -0,0 +1,68 @@
+// Users' calls. Every node answers them alone, by guarded transactions and fresh reads.
+#pragma once
+
+#include <list>
+#include <string>
+#include <unordered_map>
+
+#include "coordination/catalog.hpp"
+#include "protocol/jobs.hpp"
+#include "settings.hpp"
+#include "storage/records.hpp"
+#include "storage/state_client.hpp"
+#include "transport/http.hpp"
+
+namespace larkroad::coordination {
+
+// Why a submission can never run, or empty.
+std::string never_runnable(const protocol::JobSpec& spec, const Settings& settings,
+                           const std::vector<protocol::MachineType>& types);
+
+class Front {
+ public:
+  Front(transport::Clock& clock, storage::StateClient& state, const Catalog& catalog,
+        const Settings& settings)
+      : clock_(clock), state_(state), catalog_(catalog), settings_(settings) {}
+
+  void handle(transport::Request request, transport::Respond respond);
+
+  // What the leader tells of jobs that are running, for display only.
+  struct Progress {
+    std::uint32_t done = 0;
+    std::uint32_t running = 0;
+  };
+  void set_progress(std::unordered_map<std::string, Progress> progress) {
+    progress_ = std::move(progress);
+  }
+  std::function<bool()> healthy = [] { return true; };
+
+ private:
+  using Respond = transport::Respond;
+  // What is known of a job, by a read made now.
+  struct Known {
+    storage::Status status = storage::Status::unknown;  // ok, missing, or no answer to be had
+    protocol::JobState state = protocol::JobState::queued;
+    std::uint32_t tasks = 0;  // of a job that is over
+    std::uint64_t mark = 0;   // of a job that is not over
+    storage::JobRecord record;
+  };
+  void look_up(const std::string& id, std::function<void(const Known&)> done);
+  void submit(const std::string& body, Respond respond);
+  void accept(const protocol::JobSpec& spec, Seconds until, Respond respond);
+  void query(const std::string& id, Respond respond);
+  void cancel(const std::string& id, Seconds until, Respond respond);
+  void answer_known(const std::string& id, const Known& known, const Respond& respond);
+  void busy(const Respond& respond);
+  void remember(const std::string& id, const storage::FinishedRecord& record);
+
+  transport::Clock& clock_;
+  storage::StateClient& state_;
+  const Catalog& catalog_;
+  const Settings& settings_;
+  std::unordered_map<std::string, Progress> progress_;
+  // Jobs that are over never change, so they are answered from memory.
+  std::unordered_map<std::string, storage::FinishedRecord> finished_;
+  std::list<std::string> finished_order_;
+};
+
+}  // namespace larkroad::coordination
--- /dev/null
+++ b/src/coordination/leader.hpp
@@ -0,0 +1,124 @@
+// What the leading node does: keeps the ledger true to records and reports, and runs the loops
+// that bring what is towards what is wanted. All I/O of the leader is here; what to do is decided
+// by the planner and the fleet.
+#pragma once
+
+#include <functional>
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "coordination/catalog.hpp"
+#include "coordination/election.hpp"
+#include "coordination/fleet.hpp"
+#include "coordination/front.hpp"
+#include "coordination/ledger.hpp"
+#include "coordination/planner.hpp"
+#include "protocol/workers.hpp"
+#include "storage/state_client.hpp"
+#include "transport/http.hpp"
+
+namespace larkroad::coordination {
+
+class Leader {
+ public:
+  Leader(transport::Clock& clock, transport::Client& client, storage::StateClient& state,
+         Election& election, Catalog& catalog, const Settings& settings);
+
+  void begin();  // elected: reads everything, then works
+  void end();    // deposed: forgets everything
+  void types_changed();
+
+  // A worker's report, when this node may answer for the leader.
+  transport::Response checkin(const protocol::Report& report);
+
+  std::unordered_map<std::string, Front::Progress> progress() const;
+
+ private:
+  using Commands = std::vector<protocol::Command>;
+
+  // Callbacks of an earlier leadership must not touch the present one.
+  template <typename Fn>
+  auto guarded(Fn fn) {
+    return [this, epoch = epoch_, fn = std::move(fn)](auto&&... args) {
+      if (epoch == epoch_) fn(std::forward<decltype(args)>(args)...);
+    };
+  }
+  void later(Seconds delay, std::function<void()> fn);
+
+  // Loading.
+  void load_jobs(const std::string& after);
+  void load_placements(const std::string& after);
+  void loaded();
+  void watch_jobs();
+  void apply_job(const std::string& id, const storage::Json& data, std::uint64_t mark);
+  void refresh_job(const std::string& id);
+
+  // Jobs and their records.
+  void cancel_job(Job& job);
+  void sync(Job& job);
+  void synced(const std::string& id, const std::vector<std::uint32_t>& chunks,
+              const std::vector<std::pair<std::uint32_t, std::uint64_t>>& recorded,
+              const std::vector<std::uint32_t>& done, const storage::CommitReply& reply);
+  void finish_job(Job& job);
+  void drop_garbage();
+  void gone(Job& job, std::uint32_t task, const std::string& why);
+
+  // Workers.
+  Commands process(const protocol::Report& report);
+  void process_task(Machine& machine, const protocol::TaskReport& task, Commands& commands);
+  void exited(Machine& machine, Job& job, const protocol::TaskReport& task);
+  void absent(Machine& machine, Job& job, Placement& placement, Commands& commands);
+  void stop(Job& job, Placement& placement, double grace_s);
+  void break_gang(Job& job, const std::string& why);
+  void direct(const std::string& machine, Commands commands);
+  void launch(Job& job, const std::vector<std::uint32_t>& tasks);
+  void inspect(Machine& machine);
+  void end_sessions(Machine& machine, std::uint64_t session);
+  void machine_gone(const std::string& name, const std::string& why);
+  void drain(Machine& machine, double notice_s);
+
+  // Loops.
+  void tick();
+  void request_plan();
+  void make_plan();
+  void fleet_round();
+  void list_machines();
+  void list_page(const std::string& after, Seconds begun);
+  void listed(Seconds begun);
+  void rent(const Market& market, int count);
+  void send_rental(const protocol::RentalRequest& request);
+  void give_back(const std::vector<std::string>& names);
+
+  transport::Clock& clock_;
+  transport::Client& client_;
+  storage::StateClient& state_;
+  Election& election_;
+  Catalog& catalog_;
+  const Settings& settings_;
+
+  std::uint64_t epoch_ = 0;
+  bool ready_ = false;
+  Seconds begun_at_ = 0;
+  Seconds ready_at_ = 0;
+  Ledger ledger_;
+  Holds holds_;
+  Refusals refusals_;
+  std::uint64_t watched_to_ = 0;
+  std::vector<storage::Entry> loaded_placements_;
+  std::vector<std::string> garbage_;
+  bool dropping_ = false;
+  std::map<std::string, Seconds> gone_machines_;  // known to be gone, though lists lag
+  std::map<Market, int> pending_rentals_;
+  std::uint64_t rentals_ = 0;
+  bool listing_ = false;
+  bool listed_once_ = false;
+  Seconds catalog_asked_at_ = 0;
+  bool plan_armed_ = false;
+  size_t plan_from_ = 0;
+  bool fence_wanted_ = false;
+  Seconds fenced_at_ = 0;
+};
+
+}  // namespace larkroad::coordination
--- /dev/null
+++ b/src/coordination/ledger.cpp
@@ -0,0 +1,295 @@
+#include "coordination/ledger.hpp"
+
+#include <algorithm>
+#include <cmath>
+
+namespace larkroad::coordination {
+namespace {
+
+// Amounts are decimals: sums of them are compared with this much leeway.
+constexpr double kRounding = 1e-6;
+
+}  // namespace
+
+Resources& Resources::operator+=(const Resources& o) {
+  cpus += o.cpus;
+  gpus += o.gpus;
+  memory_gb += o.memory_gb;
+  return *this;
+}
+
+Resources& Resources::operator-=(const Resources& o) {
+  cpus -= o.cpus;
+  gpus -= o.gpus;
+  memory_gb -= o.memory_gb;
+  return *this;
+}
+
+bool Resources::fits(const Resources& need) const {
+  return need.cpus <= cpus + kRounding && need.gpus <= gpus + kRounding &&
+         need.memory_gb <= memory_gb + kRounding;
+}
+
+std::uint32_t Resources::times(const Resources& need) const {
+  double most = protocol::kMostTasks;
+  const auto part = [&most](double have, double each) {
+    if (each > 0) most = std::min(most, std::floor((have + kRounding) / each));
+  };
+  part(cpus, need.cpus);
+  part(gpus, need.gpus);
+  part(memory_gb, need.memory_gb);
+  return most <= 0 ? 0 : static_cast<std::uint32_t>(most);
+}
+
+Resources needs_of(const JobSpec& spec) { return {spec.cpus, spec.gpus, spec.memory_gb}; }
+Resources capacity_of(const MachineType& type) { return {type.cpus, type.gpus, type.memory_gb}; }
+
+std::uint32_t Job::waiting() const {
+  if (cancelled || gang_broken) return 0;
+  return spec.tasks - next_fresh + static_cast<std::uint32_t>(returned.size());
+}
+
+bool Job::over() const { return done_count == spec.tasks || (cancelled && live.empty()); }
+
+std::uint32_t Job::running() const {
+  std::uint32_t count = 0;
+  for (const auto& [task, placement] : live) {
+    count += placement.stage == Placement::Stage::held &&
+             (placement.state == TaskState::running || placement.state == TaskState::saving);
+  }
+  return count;
+}
+
+Resources Machine::room() const {
+  Resources out = capacity;
+  out -= used;
+  return out;
+}
+
+bool Machine::usable(Seconds now) const {
+  return heard && !silent && !returning && !suspect && !taken_at && now >= refused_until &&
+         !address.empty();
+}
+
+void Machine::touch_image(const std::string& image, double gb, double cache_gb, Seconds now) {
+  images[image] = {gb, now};
+  double total = 0;
+  for (const auto& [name, entry] : images) total += entry.first;
+  while (total > cache_gb && images.size() > 1) {
+    const auto oldest =
+        std::min_element(images.begin(), images.end(), [](const auto& a, const auto& b) {
+          return a.second.second < b.second.second;
+        });
+    if (oldest->first == image) break;
+    total -= oldest->second.first;
+    images.erase(oldest);
+  }
+}
+
+void Ledger::clear() {
+  jobs_.clear();
+  machines_.clear();
+  used_.clear();
+}
+
+Job& Ledger::add_job(const std::string& id, const storage::JobRecord& record,
+                     std::uint64_t mark) {
+  auto job = std::make_unique<Job>();
+  job->spec = record.spec;
+  job->mark = mark;
+  job->submitted_at = record.submitted_at;
+  job->chunk_tasks = record.chunk_tasks;
+  job->cancelled = record.cancelled;
+  job->done.assign(record.spec.tasks, false);
+  auto& slot = jobs_[id];
+  slot = std::move(job);
+  return *slot;
+}
+
+Job* Ledger::job(const std::string& id) {
+  const auto it = jobs_.find(id);
+  return it == jobs_.end() ? nullptr : it->second.get();
+}
+
+const Job* Ledger::job(const std::string& id) const {
+  const auto it = jobs_.find(id);
+  return it == jobs_.end() ? nullptr : it->second.get();
+}
+
+void Ledger::remove_job(const std::string& id) { jobs_.erase(id); }
+
+void Ledger::load_chunk(Job& job, std::uint32_t chunk, const storage::ChunkRecord& record,
+                        std::uint64_t mark, std::uint64_t doubt_token, Seconds now) {
+  job.chunks[chunk] = {mark, record.attempt, false};
+  const std::uint32_t first = chunk * job.chunk_tasks;
+  const std::uint32_t end = std::min(first + job.chunk_tasks, job.spec.tasks);
+  for (const auto& [from, to] : record.done) {
+    for (std::uint32_t task = from; task <= to && task < end; ++task) {
+      if (!job.done[task]) {
+        job.done[task] = true;
+        ++job.done_count;
+      }
+    }
+  }
+  for (const auto& placed : record.placed) {
+    if (placed.task >= end || job.done[placed.task]) continue;
+    Machine& m = machine(placed.machine);
+    m.session = std::max(m.session, placed.session);
+    m.doubts[{{job.id(), placed.task}, placed.attempt}] = {doubt_token, false};
+    Placement& p = place(job, placed.task, m, placed.attempt, now);
+    p.session = placed.session;
+    p.stage = Placement::Stage::recorded;
+    if (job.spec.gang) job.gang_attempt = std::max(job.gang_attempt, placed.attempt);
+  }
+  // Chunks are written as they are needed, so every task up to this one may have been placed.
+  for (std::uint32_t task = job.next_fresh; task < first; ++task) {
+    if (!job.done[task] && !job.live.contains(task)) job.returned.insert(task);
+  }
+  for (std::uint32_t task = first; task < end; ++task) {
+    if (!job.done[task] && !job.live.contains(task)) {
+      job.returned.insert(task);
+    } else {
+      job.returned.erase(task);
+    }
+  }
+  job.next_fresh = std::max(job.next_fresh, end);
+}
+
+storage::ChunkRecord Ledger::chunk_record(const Job& job, std::uint32_t chunk) const {
+  storage::ChunkRecord record;
+  const auto it = job.chunks.find(chunk);
+  if (it != job.chunks.end()) record.attempt = it->second.attempt;
+  const std::uint32_t first = chunk * job.chunk_tasks;
+  const std::uint32_t end = std::min(first + job.chunk_tasks, job.spec.tasks);
+  for (std::uint32_t task = first; task < end; ++task) {
+    if (!job.done[task]) continue;
+    if (!record.done.empty() && record.done.back().second + 1 == task) {
+      record.done.back().second = task;
+    } else {
+      record.done.emplace_back(task, task);
+    }
+  }
+  for (auto p = job.live.lower_bound(first); p != job.live.end() && p->first < end; ++p) {
+    record.placed.push_back(
+        {p->first, p->second.attempt, p->second.machine, p->second.session});
+  }
+  return record;
+}
+
+Machine& Ledger::machine(const std::string& name) {
+  auto [it, made] = machines_.try_emplace(name);
+  if (made) it->second.name = name;
+  return it->second;
+}
+
+Machine* Ledger::find_machine(const std::string& name) {
+  const auto it = machines_.find(name);
+  return it == machines_.end() ? nullptr : &it->second;
+}
+
+const Machine* Ledger::find_machine(const std::string& name) const {
+  const auto it = machines_.find(name);
+  return it == machines_.end() ? nullptr : &it->second;
+}
+
+void Ledger::remove_machine(const std::string& name) { machines_.erase(name); }
+
+void Ledger::set_type(Machine& machine, const std::string& name) {
+  machine.type = name;
+  if (const MachineType* known = type(name)) machine.capacity = capacity_of(*known);
+}
+
+Placement& Ledger::place(Job& job, std::uint32_t task, Machine& machine, std::uint64_t attempt,
+                         Seconds now) {
+  Placement p;
+  p.task = task;
+  p.attempt = attempt;
+  p.machine = machine.name;
+  p.session = machine.session;
+  p.placed_at = now;
+  if (job.returned.erase(task) == 0 && task == job.next_fresh) ++job.next_fresh;
+  Chunk& chunk = job.chunks[job.chunk_of(task)];
+  chunk.attempt = std::max(chunk.attempt, attempt);
+  machine.used += needs_of(job.spec);
+  machine.tasks.insert({job.id(), task});
+  used_[job.spec.team] += needs_of(job.spec);
+  return job.live[task] = std::move(p);
+}
+
+void Ledger::release(Job& job, std::uint32_t task, Seconds now) {
+  const auto it = job.live.find(task);
+  if (it == job.live.end()) return;
+  if (Machine* m = find_machine(it->second.machine)) {
+    m->used -= needs_of(job.spec);
+    m->tasks.erase({job.id(), task});
+    if (m->tasks.empty()) {
+      m->used = {};
+      m->idle_since = now;
+    }
+  }
+  used_[job.spec.team] -= needs_of(job.spec);
+  job.live.erase(it);
+}
+
+void Ledger::unplace(Job& job, std::uint32_t task, Seconds now) {
+  release(job, task, now);
+  job.returned.insert(task);
+  if (job.spec.gang && job.live.empty()) {
+    job.gang_broken = false;
+    job.gang_started = false;
+  }
+}
+
+void Ledger::finish(Job& job, std::uint32_t task, Seconds now) {
+  release(job, task, now);
+  job.returned.erase(task);
+  if (job.done[task]) return;
+  job.done[task] = true;
+  ++job.done_count;
+  job.unrecorded_done.insert(task);
+  job.chunks[job.chunk_of(task)].dirty = true;
+  job.failures = 0;
+}
+
+Resources Ledger::used_by(const std::string& team) const {
+  const auto it = used_.find(team);
+  return it == used_.end() ? Resources{} : it->second;
+}
+
+std::uint32_t Ledger::quota_room(const JobSpec& spec) const {
+  const TeamSettings* team = settings_.team(spec.team);
+  if (team == nullptr) return 0;
+  const Resources used = used_by(spec.team);
+  Resources left{team->cpus_max - used.cpus, team->gpus_max - used.gpus, 1e12};
+  return left.times({spec.cpus, spec.gpus, 0});
+}
+
+bool Ledger::within_quota(const JobSpec& spec, std::uint32_t more) const {
+  return quota_room(spec) >= more;
+}
+
+void Ledger::set_types(std::vector<MachineType> types) {
+  types_ = std::move(types);
+  for (auto& [name, machine] : machines_) {
+    if (!machine.type.empty()) set_type(machine, machine.type);
+  }
+}
+
+const MachineType* Ledger::type(const std::string& name) const {
+  for (const auto& type : types_) {
+    if (type.name == name) return &type;
+  }
+  return nullptr;
+}
+
+bool allows(const JobSpec& spec, const MachineType& type, const std::string& zone, bool spot) {
+  if (spot && !spec.spot) return false;
+  if (spec.zone && *spec.zone != zone) return false;
+  if (spec.types &&
+      std::find(spec.types->begin(), spec.types->end(), type.name) == spec.types->end()) {
+    return false;
+  }
+  return capacity_of(type).fits(needs_of(spec));
+}
+
+}  // namespace larkroad::coordination
--- /dev/null
+++ b/src/coordination/ledger.hpp
@@ -0,0 +1,199 @@
+// The leader's picture of jobs, machines and placements, with the room and the quota they take.
+// Plain data and arithmetic: no I/O, no clock of its own.
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "protocol/cloud.hpp"
+#include "protocol/jobs.hpp"
+#include "protocol/workers.hpp"
+#include "settings.hpp"
+#include "storage/records.hpp"
+#include "transport/clock.hpp"
+
+namespace larkroad::coordination {
+
+using protocol::JobSpec;
+using protocol::MachineType;
+using protocol::TaskId;
+using protocol::TaskState;
+using transport::Seconds;
+
+struct Resources {
+  double cpus = 0;
+  double gpus = 0;
+  double memory_gb = 0;
+
+  Resources& operator+=(const Resources& o);
+  Resources& operator-=(const Resources& o);
+  bool fits(const Resources& need) const;  // whether `need` fits into this
+  // How many times `need` fits into this.
+  std::uint32_t times(const Resources& need) const;
+};
+Resources needs_of(const JobSpec& spec);
+Resources capacity_of(const MachineType& type);
+
+// A task on a machine, from the moment the decision is made until it is proved to be gone.
+struct Placement {
+  enum class Stage {
+    recording,  // decided; its record is not yet durable, so nothing has been sent
+    recorded,   // durable; nothing has been sent under this leader
+    launched,   // sent; the worker has not yet been heard to hold it
+    held,       // the worker reports it
+  };
+  std::uint32_t task = 0;
+  std::uint64_t attempt = 0;
+  std::string machine;
+  std::uint64_t session = 0;
+  Stage stage = Stage::recording;
+  TaskState state = TaskState::fetching;  // when held
+  bool stopping = false;
+  double grace_s = 0;
+  Seconds stop_sent = -1;
+  Seconds placed_at = 0;
+  Seconds running_since = -1;
+};
+
+struct Chunk {
+  std::uint64_t mark = 0;
+  std::uint64_t attempt = 0;
+  bool dirty = false;
+};
+
+struct Job {
+  JobSpec spec;
+  std::uint64_t mark = 0;
+  double submitted_at = 0;  // time of day
+  std::uint32_t chunk_tasks = 1;
+  bool cancelled = false;
+
+  std::vector<bool> done;
+  std::uint32_t done_count = 0;
+  std::set<std::uint32_t> unrecorded_done;  // done, though not yet durably so
+  std::map<std::uint32_t, Placement> live;
+  std::uint32_t next_fresh = 0;        // tasks from here on have never been placed
+  std::set<std::uint32_t> returned;    // placed before, now to be placed again
+  std::map<std::uint32_t, Chunk> chunks;
+  bool busy = false;  // a transaction on its records is under way
+
+  // Gangs: the attempt its tasks share, and whether it has fallen apart and must end first.
+  std::uint64_t gang_attempt = 0;
+  bool gang_started = false;
+  bool gang_broken = false;
+
+  Seconds retry_at = 0;  // not placed before this
+  int failures = 0;      // tasks that exited with an error, since the last success
+  bool seen_running = false;
+
+  const std::string& id() const { return spec.id; }
+  std::uint32_t chunk_of(std::uint32_t task) const { return task / chunk_tasks; }
+  std::uint32_t waiting() const;   // tasks that want a place
+  bool over() const;               // nothing is left to run or to stop
+  std::uint32_t running() const;   // for display
+};
+
+// A direct launch that may still be carried out, late: until its answer, until the worker has seen
+// a higher token, or until the worker has begun another session.
+struct Doubt {
+  std::uint64_t token = 0;
+  bool pending = false;  // its answer may still come
+};
+
+struct Machine {
+  std::string name;
+  std::string address;
+  std::string type;
+  std::string zone;
+  bool spot = false;
+  bool heard = false;  // has reported to this leader
+  std::uint64_t session = 0;
+  std::uint64_t tick = 0;
+  std::uint64_t token_seen = 0;
+  Seconds rented_at = 0;
+  Seconds up_since = -1;
+  Seconds heard_at = -1;     // the newest report
+  Seconds answered_at = -1;  // the last 200 that any leader may have given it
+  Seconds listed_at = -1;
+  std::optional<Seconds> taken_at;  // from the spot notice
+  bool silent = false;              // its lease has run out unanswered; it must report anew
+  bool returning = false;
+  bool suspect = false;  // every task fails on it
+  int failures = 0;
+  Seconds refused_until = 0;  // it said `full`: its room is not what it seems
+  Seconds idle_since = 0;
+  Resources capacity;
+  Resources used;
+  std::set<TaskId> tasks;
+  std::map<std::pair<TaskId, std::uint64_t>, Doubt> doubts;  // by task and attempt
+  std::map<std::string, std::pair<double, Seconds>> images;  // size and last use, as guessed
+
+  Resources room() const;
+  bool usable(Seconds now) const;
+  void touch_image(const std::string& image, double gb, double cache_gb, Seconds now);
+};
+
+class Ledger {
+ public:
+  explicit Ledger(const Settings& settings) : settings_(settings) {}
+  void clear();
+
+  // Jobs.
+  Job& add_job(const std::string& id, const storage::JobRecord& record, std::uint64_t mark);
+  Job* job(const std::string& id);
+  const Job* job(const std::string& id) const;
+  void remove_job(const std::string& id);
+  const std::unordered_map<std::string, std::unique_ptr<Job>>& jobs() const { return jobs_; }
+  void load_chunk(Job& job, std::uint32_t chunk, const storage::ChunkRecord& record,
+                  std::uint64_t mark, std::uint64_t doubt_token, Seconds now);
+  storage::ChunkRecord chunk_record(const Job& job, std::uint32_t chunk) const;
+
+  // Machines.
+  Machine& machine(const std::string& name);  // made when unknown
+  Machine* find_machine(const std::string& name);
+  const Machine* find_machine(const std::string& name) const;
+  void remove_machine(const std::string& name);
+  std::map<std::string, Machine>& machines() { return machines_; }
+  const std::map<std::string, Machine>& machines() const { return machines_; }
+  void set_type(Machine& machine, const std::string& type);
+
+  // Placements. Room and quota are taken from `place` until `unplace` or `finish`.
+  Placement& place(Job& job, std::uint32_t task, Machine& machine, std::uint64_t attempt,
+                   Seconds now);
+  // The task is proved gone without having completed; it wants a place again.
+  void unplace(Job& job, std::uint32_t task, Seconds now);
+  void finish(Job& job, std::uint32_t task, Seconds now);
+
+  // Teams.
+  Resources used_by(const std::string& team) const;
+  bool within_quota(const JobSpec& spec, std::uint32_t more) const;
+  // How many more tasks of this job its team's limit allows.
+  std::uint32_t quota_room(const JobSpec& spec) const;
+
+  // Machine types.
+  void set_types(std::vector<MachineType> types);
+  const std::vector<MachineType>& types() const { return types_; }
+  const MachineType* type(const std::string& name) const;
+
+  const Settings& settings() const { return settings_; }
+
+ private:
+  void release(Job& job, std::uint32_t task, Seconds now);
+
+  const Settings& settings_;
+  std::unordered_map<std::string, std::unique_ptr<Job>> jobs_;
+  std::map<std::string, Machine> machines_;
+  std::map<std::string, Resources> used_;  // by team
+  std::vector<MachineType> types_;
+};
+
+// Whether a machine of this type, zone and kind may run the job's tasks at all.
+bool allows(const JobSpec& spec, const MachineType& type, const std::string& zone, bool spot);
+
+}  // namespace larkroad::coordination
--- /dev/null
+++ b/src/coordination/planner.hpp
@@ -0,0 +1,68 @@
+// Which task goes where. Decisions are functions of the ledger, the holds and the time.
+#pragma once
+
+#include <functional>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "coordination/ledger.hpp"
+
+namespace larkroad::coordination {
+
+// The room that gangs hold, machine by machine, until every task of theirs has some: the paper's
+// preceding actions. Kept in the leader's memory only; a new leader starts without any.
+class Holds {
+ public:
+  struct Hold {
+    std::map<std::string, std::uint32_t> tasks;  // by machine
+    Resources each;
+    Seconds expires = 0;
+  };
+
+  // Reserves room for `count` tasks on a machine; the first touch starts the time limit.
+  void reserve(const std::string& job, const Resources& each, const std::string& machine,
+               std::uint32_t count, Seconds expires);
+  // The concluding action: what was held goes back, consumed or not. The caller places the tasks
+  // of a confirmed gang in the same step.
+  void release(const std::string& job);
+  // Releases the holds whose limit is over and names their jobs.
+  std::vector<std::string> expire(Seconds now);
+  const Hold* find(const std::string& job) const;
+  const std::map<std::string, Hold>& all() const { return holds_; }
+  void clear() { holds_.clear(); }
+
+ private:
+  std::map<std::string, Hold> holds_;
+};
+
+struct Assignment {
+  std::string job;
+  std::vector<std::pair<std::uint32_t, std::string>> tasks;  // task and machine
+};
+
+// The jobs that want places, most important first.
+std::vector<Job*> order_of_work(Ledger& ledger);
+
+// The ids of the jobs that lie within their team's guarantee together with the team's earlier
+// jobs that are not over.
+std::set<std::string> within_guarantee(const Ledger& ledger);
+
+struct PlanLimits {
+  Seconds hold_s = 20;
+  std::function<bool()> out_of_time = [] { return false; };
+  size_t start_at = 0;  // where in the order of work the last round stopped
+};
+
+struct Plan {
+  std::vector<Assignment> assignments;
+  size_t stopped_at = 0;  // not 0: time ran out, and the next round goes on from here
+};
+
+// Decides one round. Does not change the ledger: the caller places what is assigned.
+Plan plan(Ledger& ledger, Holds& holds, Seconds now, const PlanLimits& limits);
+
+// Tasks of a job that want a place, at most `most`, in the order in which they are placed.
+std::vector<std::uint32_t> waiting_tasks(const Job& job, std::uint32_t most);
+
+}  // namespace larkroad::coordination
--- /dev/null
+++ b/src/protocol/json.hpp
@@ -0,0 +1,32 @@
+// Checked reading of JSON: every codec of this layer goes through these.
+#pragma once
+
+#include <cstdint>
+#include <nlohmann/json.hpp>
+#include <optional>
+#include <stdexcept>
+#include <string>
+
+namespace larkroad::protocol {
+
+using Json = nlohmann::json;
+
+struct Malformed : std::runtime_error {
+  using std::runtime_error::runtime_error;
+};
+
+// Parses an object; throws Malformed for anything else, and for a field given twice.
+Json parse_object(const std::string& text);
+
+// A field that may be null may equally be omitted; both give nullptr.
+const Json* find(const Json& object, const char* key);
+const Json& need(const Json& object, const char* key);
+
+std::string text(const Json& object, const char* key);
+std::uint64_t integer(const Json& object, const char* key);
+bool boolean(const Json& object, const char* key);
+// A finite amount of at least `least`.
+double amount(const Json& object, const char* key, double least = 0);
+const Json& array(const Json& object, const char* key);
+
+}  // namespace larkroad::protocol
--- /dev/null
+++ b/src/protocol/workers.cpp
@@ -0,0 +1,112 @@
+#include "protocol/workers.hpp"
+
+#include <algorithm>
+#include <array>
+#include <utility>
+
+namespace larkroad::protocol {
+namespace {
+
+constexpr std::array<std::pair<const char*, TaskState>, 5> kStates{{
+    {"fetching", TaskState::fetching},
+    {"gathering", TaskState::waiting},
+    {"running", TaskState::running},
+    {"saving", TaskState::saving},
+    {"exited", TaskState::exited},
+}};
+
+constexpr std::array<std::pair<const char*, ExitCause>, 8> kCauses{{
+    {"done", ExitCause::done},
+    {"stopped", ExitCause::stopped},
+    {"mates_gone", ExitCause::mates_gone},
+    {"alone", ExitCause::alone},
+    {"error", ExitCause::error},
+    {"full", ExitCause::full},
+    {"busy", ExitCause::busy},
+    {"unknown", ExitCause::unknown},
+}};
+
+template <typename Table>
+auto lookup(const Table& table, const std::string& name, const char* key) {
+  for (const auto& [text, value] : table) {
+    if (name == text) return value;
+  }
+  throw Malformed(std::string(key) + " is unknown: " + name);
+}
+
+TaskId parse_task_id(const std::string& text) {
+  const auto slash = text.rfind('/');
+  if (slash == std::string::npos || slash == 0 || slash + 1 == text.size() ||
+      text.size() - slash > 10 ||
+      !std::all_of(text.begin() + static_cast<std::ptrdiff_t>(slash) + 1, text.end(),
+                   [](char c) { return c >= '0' && c <= '9'; })) {
+    throw Malformed("leg is not a task id");
+  }
+  return {text.substr(0, slash), static_cast<std::uint32_t>(std::stoul(text.substr(slash + 1)))};
+}
+
+Json encode_calls(const std::vector<Command>& commands) {
+  Json calls = Json::array();
+  for (const auto& command : commands) {
+    Json call{{"leg", command.id.text()}, {"try", command.attempt}};
+    switch (command.op) {
+      case Op::launch: call["call"] = "launch"; break;
+      case Op::kill:
+        call["call"] = "kill";
+        call["slackS"] = command.grace_s;
+        break;
+      case Op::forget: call["call"] = "forget"; break;
+    }
+    calls.push_back(std::move(call));
+  }
+  return calls;
+}
+
+}  // namespace
+
+const char* cause_name(ExitCause cause) {
+  for (const auto& [name, value] : kCauses) {
+    if (value == cause) return name;
+  }
+  return "none";
+}
+
+Report parse_report(const std::string& body) {
+  const Json json = parse_object(body);
+  Report report;
+  report.machine = text(json, "perch");
+  report.address = text(json, "address");
+  report.type = text(json, "breed");
+  report.zone = text(json, "yard");
+  report.spot = boolean(json, "loaners");
+  report.session = integer(json, "flight");
+  report.tick = integer(json, "tick");
+  report.token = integer(json, "baton");
+  if (find(json, "recallS") != nullptr) report.notice_s = amount(json, "recallS", -1e9);
+  for (const Json& leg : array(json, "legs")) {
+    if (!leg.is_object()) throw Malformed("legs must be a list of objects");
+    TaskReport task;
+    task.id = parse_task_id(text(leg, "leg"));
+    task.attempt = integer(leg, "try");
+    task.state = lookup(kStates, text(leg, "stage"), "stage");
+    if (task.state == TaskState::exited) task.cause = lookup(kCauses, text(leg, "cause"), "cause");
+    if (find(leg, "saved") != nullptr) task.saved = boolean(leg, "saved");
+    report.tasks.push_back(std::move(task));
+  }
+  return report;
+}
+
+std::string encode_report_answer(std::uint64_t token, const std::vector<Command>& commands) {
+  return Json{{"baton", token}, {"calls", encode_calls(commands)}}.dump();
+}
+
+std::string encode_redirect(const std::string& leader) {
+  return leader.empty() ? "{}" : Json{{"home", leader}}.dump();
+}
+
+std::string encode_commands(std::uint64_t token, std::uint64_t session,
+                            const std::vector<Command>& commands) {
+  return Json{{"baton", token}, {"flight", session}, {"calls", encode_calls(commands)}}.dump();
+}
+
+}  // namespace larkroad::protocol
--- /dev/null
+++ b/src/protocol/workers.hpp
@@ -0,0 +1,66 @@
+// Workers' side of the protocol: reports and commands.
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "protocol/json.hpp"
+
+namespace larkroad::protocol {
+
+enum class TaskState { fetching, waiting, running, saving, exited };
+enum class ExitCause { none, done, stopped, mates_gone, alone, error, full, busy, unknown };
+
+const char* cause_name(ExitCause cause);
+
+struct TaskId {
+  std::string job;
+  std::uint32_t task = 0;
+  auto operator<=>(const TaskId&) const = default;
+  std::string text() const { return job + "/" + std::to_string(task); }
+};
+
+struct TaskReport {
+  TaskId id;
+  std::uint64_t attempt = 0;
+  TaskState state = TaskState::fetching;
+  ExitCause cause = ExitCause::none;
+  bool saved = false;
+};
+
+struct Report {
+  std::string machine;
+  std::string address;
+  std::string type;
+  std::string zone;
+  bool spot = false;
+  std::uint64_t session = 0;
+  std::uint64_t tick = 0;
+  std::uint64_t token = 0;  // the highest the worker has seen
+  std::optional<double> notice_s;
+  std::vector<TaskReport> tasks;
+};
+
+// Throws Malformed.
+Report parse_report(const std::string& body);
+
+enum class Op { launch, kill, forget };
+struct Command {
+  Op op = Op::launch;
+  TaskId id;
+  std::uint64_t attempt = 0;
+  double grace_s = 0;  // kill only
+};
+
+std::string encode_report_answer(std::uint64_t token, const std::vector<Command>& commands);
+std::string encode_redirect(const std::string& leader);  // empty: not known
+std::string encode_commands(std::uint64_t token, std::uint64_t session,
+                            const std::vector<Command>& commands);
+
+inline constexpr const char* kReportPath = "/checkin";
+inline constexpr const char* kCommandsPath = "/do";
+inline constexpr const char* kInspectPath = "/inspect";
+
+}  // namespace larkroad::protocol
--- /dev/null
+++ b/src/settings.hpp
@@ -0,0 +1,83 @@
+// The settings file that the platform hands over (TOML), checked.
+#pragma once
+
+#include <optional>
+#include <stdexcept>
+#include <string>
+#include <vector>
+
+namespace larkroad {
+
+struct SettingsError : std::runtime_error {
+  using std::runtime_error::runtime_error;
+};
+
+struct Address {
+  std::string host;
+  unsigned short port = 0;
+  std::string text() const { return host + ":" + std::to_string(port); }
+};
+
+struct PeerSettings {
+  std::string member;
+  std::string zone;
+  Address addr;
+};
+
+struct TeamSettings {
+  std::string name;
+  double cpus = 0;
+  double cpus_max = 0;
+  double gpus = 0;
+  double gpus_max = 0;
+};
+
+struct Objective {
+  std::string kind;       // wait, finished, deadline, guarantee, ...
+  std::string job_class;  // empty: all
+  double within_s = 0;
+  double share = 0;
+  double times = 1;
+};
+
+struct Settings {
+  std::string member;
+  std::string zone;
+  Address client_listen;
+  Address peer_bind;
+  std::vector<PeerSettings> peers;
+  Address cloud;
+  Address state;
+
+  std::vector<std::string> zones;
+  double clock_error_s = 0;
+  std::vector<TeamSettings> teams;
+  std::vector<Objective> objectives;
+
+  double report_s = 0;
+  double lease_s = 0;
+  double gang_wait_s = 0;
+  double gang_peer_s = 0;
+  double cancel_s = 0;
+
+  double state_rps = 0;
+  double state_write_rps = 0;
+  double value_kb = 0;
+  int txn_ops = 0;
+
+  double cloud_rps = 0;
+  double list_lag_s = 0;
+
+  double cpu_share = 1;
+  double memory_mb = 0;
+  int sockets = 0;
+
+  const TeamSettings* team(const std::string& name) const;
+  size_t node_count() const { return peers.size() + 1; }
+};
+
+// Throws SettingsError that names the field at fault.
+Settings parse_settings(const std::string& toml_text);
+Settings load_settings(const std::string& path);
+
+}  // namespace larkroad
--- /dev/null
+++ b/src/storage/records.cpp
@@ -0,0 +1,97 @@
+#include "storage/records.hpp"
+
+#include <algorithm>
+
+namespace larkroad::storage {
+namespace {
+
+// A placed task in the worst case: [99999,18446744073709551615,"i-0000000000000",1844674407],
+constexpr double kBytesPerTask = 64;
+
+}  // namespace
+
+std::string job_key(const std::string& id) { return kJobPrefix + id; }
+std::string finished_key(const std::string& id) { return "d/" + id; }
+std::string placement_key(const std::string& id, std::uint32_t chunk) {
+  return kPlacementPrefix + id + "/" + std::to_string(chunk);
+}
+
+bool parse_placement_key(const std::string& key, std::string& id, std::uint32_t& chunk) {
+  const std::string prefix = kPlacementPrefix;
+  const auto slash = key.rfind('/');
+  if (!key.starts_with(prefix) || slash < prefix.size() || slash + 1 == key.size() ||
+      key.size() - slash > 8) {
+    return false;
+  }
+  id = key.substr(prefix.size(), slash - prefix.size());
+  chunk = 0;
+  for (size_t i = slash + 1; i < key.size(); ++i) {
+    if (key[i] < '0' || key[i] > '9') return false;
+    chunk = chunk * 10 + static_cast<std::uint32_t>(key[i] - '0');
+  }
+  return true;
+}
+
+Json encode(const JobRecord& record) {
+  Json out = protocol::encode_spec(record.spec);
+  out["at"] = record.submitted_at;
+  out["chunk"] = record.chunk_tasks;
+  if (record.cancelled) out["cancelled"] = true;
+  return out;
+}
+
+JobRecord decode_job(const std::string& id, const Json& data) {
+  JobRecord record;
+  record.spec = protocol::decode_spec(id, data);
+  record.submitted_at = protocol::amount(data, "at");
+  record.chunk_tasks =
+      static_cast<std::uint32_t>(std::max<std::uint64_t>(1, protocol::integer(data, "chunk")));
+  record.cancelled =
+      protocol::find(data, "cancelled") != nullptr && protocol::boolean(data, "cancelled");
+  return record;
+}
+
+Json encode(const ChunkRecord& record) {
+  Json out{{"attempt", record.attempt}};
+  Json done = Json::array();
+  for (const auto& [first, last] : record.done) done.push_back({first, last});
+  if (!done.empty()) out["done"] = std::move(done);
+  Json placed = Json::array();
+  for (const auto& p : record.placed) {
+    placed.push_back(Json::array({p.task, p.attempt, p.machine, p.session}));
+  }
+  if (!placed.empty()) out["placed"] = std::move(placed);
+  return out;
+}
+
+ChunkRecord decode_chunk(const Json& data) {
+  ChunkRecord record;
+  record.attempt = protocol::integer(data, "attempt");
+  if (const Json* done = protocol::find(data, "done")) {
+    for (const Json& range : *done) {
+      record.done.emplace_back(range.at(0).get<std::uint32_t>(), range.at(1).get<std::uint32_t>());
+    }
+  }
+  if (const Json* placed = protocol::find(data, "placed")) {
+    for (const Json& p : *placed) {
+      record.placed.push_back({p.at(0).get<std::uint32_t>(), p.at(1).get<std::uint64_t>(),
+                               p.at(2).get<std::string>(), p.at(3).get<std::uint64_t>()});
+    }
+  }
+  return record;
+}
+
+Json encode(const FinishedRecord& record) {
+  return Json{{"cancelled", record.cancelled}, {"tasks", record.tasks}};
+}
+
+FinishedRecord decode_finished(const Json& data) {
+  return {protocol::boolean(data, "cancelled"),
+          static_cast<std::uint32_t>(protocol::integer(data, "tasks"))};
+}
+
+std::uint32_t tasks_per_chunk(double value_kb) {
+  return static_cast<std::uint32_t>(std::clamp(value_kb * 1024 / kBytesPerTask, 1.0, 1024.0));
+}
+
+}  // namespace larkroad::storage
--- /dev/null
+++ b/src/storage/records.hpp
@@ -0,0 +1,64 @@
+// What larkroad keeps in the state service, and under which keys.
+//
+//   leader          who leads, under a lease; its mark is the token
+//   catalog         the machine types, so that a restarted node need not wait for the cloud
+//   j/ID            a job that is not over: what was submitted, and whether it is cancelled
+//   p/ID/CHUNK      where the job's tasks are placed and which are done, a range of tasks each
+//   d/ID            a job that is over, for good
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include "protocol/jobs.hpp"
+
+namespace larkroad::storage {
+
+using protocol::Json;
+
+inline constexpr const char* kLeaderKey = "leader";
+inline constexpr const char* kCatalogKey = "catalog";
+inline constexpr const char* kJobPrefix = "j/";
+inline constexpr const char* kPlacementPrefix = "p/";
+
+std::string job_key(const std::string& id);
+std::string finished_key(const std::string& id);
+std::string placement_key(const std::string& id, std::uint32_t chunk);
+// The job id and chunk that a placement key names; false when it is not one.
+bool parse_placement_key(const std::string& key, std::string& id, std::uint32_t& chunk);
+
+struct JobRecord {
+  protocol::JobSpec spec;
+  double submitted_at = 0;  // time of day
+  std::uint32_t chunk_tasks = 1;
+  bool cancelled = false;
+};
+Json encode(const JobRecord& record);
+JobRecord decode_job(const std::string& id, const Json& data);
+
+struct PlacedTask {
+  std::uint32_t task = 0;
+  std::uint64_t attempt = 0;
+  std::string machine;
+  std::uint64_t session = 0;
+};
+struct ChunkRecord {
+  std::uint64_t attempt = 0;  // the highest ever used in this chunk
+  std::vector<std::pair<std::uint32_t, std::uint32_t>> done;  // ranges, both ends included
+  std::vector<PlacedTask> placed;
+};
+Json encode(const ChunkRecord& record);
+ChunkRecord decode_chunk(const Json& data);
+
+struct FinishedRecord {
+  bool cancelled = false;
+  std::uint32_t tasks = 0;
+};
+Json encode(const FinishedRecord& record);
+FinishedRecord decode_finished(const Json& data);
+
+// How many tasks share a placement record, so that its worst case fits the service's value limit.
+std::uint32_t tasks_per_chunk(double value_kb);
+
+}  // namespace larkroad::storage
--- /dev/null
+++ b/src/storage/state_client.cpp
@@ -0,0 +1,337 @@
+#include "storage/state_client.hpp"
+
+#include <algorithm>
+
+#include "log.hpp"
+
+namespace larkroad::storage {
+namespace {
+
+// A node leaves this part of its share unused: the service counts by its own clock.
+constexpr double kShareUsed = 0.95;
+// Calls that would wait longer than this for their turn are refused at once (overload).
+constexpr Seconds kLongestQueue = 1.0;
+
+Status status_of(transport::Outcome outcome, int http) {
+  if (outcome == transport::Outcome::not_sent) return Status::unavailable;
+  if (outcome == transport::Outcome::unknown) return Status::unknown;
+  switch (http) {
+    case 200: return Status::ok;
+    case 400: return Status::invalid;
+    case 404: return Status::missing;
+    case 409: return Status::conflict;
+    case 410: return Status::too_old;
+    case 429:
+    case 503: return Status::unavailable;
+    default: return Status::unknown;
+  }
+}
+
+Entry parse_entry(const Json& json) {
+  return {protocol::text(json, "k"), protocol::need(json, "data"),
+          protocol::integer(json, "mark")};
+}
+
+}  // namespace
+
+struct Settlement {
+  Transaction txn;
+  std::function<bool()> wanted;
+  std::function<void(CommitReply)> done;
+  bool in_doubt = false;
+  int tries = 0;
+};
+
+StateClient::StateClient(transport::Clock& clock, transport::Client& client,
+                         const Settings& settings)
+    : clock_(clock),
+      client_(client),
+      endpoint_(settings.state.text()),
+      rps_(settings.state_rps),
+      write_rps_(settings.state_write_rps),
+      // Well above the few hundred milliseconds a slow answer takes, well below the lease.
+      timeout_(std::clamp(settings.lease_s / 16, 0.5, 2.0)),
+      refilled_at_(clock.now()) {
+  set_share(1.0 / static_cast<double>(settings.node_count()));
+  tokens_ = rps_ * share_ / 2;
+  write_tokens_ = write_rps_ * share_ / 2;
+}
+
+void StateClient::set_share(double share) { share_ = share * kShareUsed; }
+
+Seconds StateClient::failing_for() const {
+  return failing_since_ < 0 ? 0 : std::max(1e-9, clock_.now() - failing_since_);
+}
+
+bool StateClient::worth_trying() {
+  if (failing_for() < timeout_) return true;
+  if (clock_.now() - probed_at_ < timeout_ / 4) return false;
+  probed_at_ = clock_.now();
+  return true;
+}
+
+void StateClient::note(bool answered) {
+  if (answered) {
+    failing_since_ = -1;
+    answered_ever_ = true;
+  } else if (failing_since_ < 0) {
+    failing_since_ = clock_.now();
+  }
+}
+
+void StateClient::refill() {
+  const Seconds now = clock_.now();
+  const double passed = now - refilled_at_;
+  refilled_at_ = now;
+  tokens_ = std::min(tokens_ + passed * rps_ * share_, rps_ * share_);
+  write_tokens_ = std::min(write_tokens_ + passed * write_rps_ * share_, write_rps_ * share_);
+}
+
+void StateClient::submit(transport::Request request, Seconds timeout, double changes, bool urgent,
+                         std::function<void(Status, transport::Response)> done) {
+  Call call{std::move(request), timeout, changes, clock_.now(), std::move(done)};
+  refill();
+  if (urgent) {
+    // A lease renewal never waits for its turn; what it takes is missing to the others.
+    tokens_ -= 1;
+    write_tokens_ -= changes;
+    send(std::move(call));
+    return;
+  }
+  const double ahead = static_cast<double>(waiting_.size());
+  if (ahead > rps_ * share_ * kLongestQueue) {
+    clock_.after(0, [done = std::move(call.done)] { done(Status::unavailable, {}); });
+    return;
+  }
+  waiting_.push_back(std::move(call));
+  pump();
+}
+
+void StateClient::pump() {
+  refill();
+  while (!waiting_.empty()) {
+    Call& next = waiting_.front();
+    // A transaction larger than the whole bucket goes once the bucket is full.
+    const double changes = std::min(next.changes, write_rps_ * share_);
+    if (tokens_ < 1 || (next.changes > 0 && write_tokens_ < changes)) {
+      if (clock_.now() - next.queued_at > kLongestQueue * 2) {
+        auto done = std::move(next.done);
+        waiting_.pop_front();
+        clock_.after(0, [done = std::move(done)] { done(Status::unavailable, {}); });
+        continue;
+      }
+      if (!pump_armed_) {
+        pump_armed_ = true;
+        clock_.after(std::max(0.005, 1 / (rps_ * share_)), [this] {
+          pump_armed_ = false;
+          pump();
+        });
+      }
+      return;
+    }
+    tokens_ -= 1;
+    write_tokens_ -= next.changes;
+    Call call = std::move(next);
+    waiting_.pop_front();
+    send(std::move(call));
+  }
+}
+
+void StateClient::send(Call call) {
+  client_.call(endpoint_, std::move(call.request), call.timeout,
+               [this, done = std::move(call.done)](transport::Outcome outcome,
+                                                   transport::Response response) {
+                 const Status status = status_of(outcome, response.status);
+                 // 429 is the service's answer too, but a 503 may be for this node alone.
+                 note(outcome == transport::Outcome::answered && response.status != 503);
+                 done(status, std::move(response));
+               });
+}
+
+void StateClient::get(const std::string& key, std::function<void(Status, Entry)> done) {
+  submit({"GET", "/store/" + key, ""}, timeout_, 0, false,
+         [done = std::move(done)](Status status, transport::Response response) {
+           Entry entry;
+           if (status == Status::ok) {
+             try {
+               entry = parse_entry(protocol::parse_object(response.body));
+             } catch (const std::exception& error) {
+               spdlog::error("state service: {}", error.what());
+               status = Status::unknown;
+             }
+           }
+           done(status, std::move(entry));
+         });
+}
+
+void StateClient::list(const std::string& prefix, const std::string& after,
+                       std::function<void(ListReply)> done) {
+  std::string target = "/store?starts=" + prefix + "&limit=1000";
+  if (!after.empty()) target += "&since=" + after;
+  submit({"GET", target, ""}, timeout_ * 4, 0, false,
+         [done = std::move(done)](Status status, transport::Response response) {
+           ListReply reply;
+           reply.status = status;
+           if (status == Status::ok) {
+             try {
+               const Json json = protocol::parse_object(response.body);
+               for (const Json& item : protocol::array(json, "pairs")) {
+                 reply.entries.push_back(parse_entry(item));
+               }
+               reply.more = protocol::find(json, "more") && protocol::boolean(json, "more");
+               reply.revision = protocol::integer(json, "ledger");
+             } catch (const std::exception& error) {
+               spdlog::error("state service: {}", error.what());
+               reply.status = Status::unknown;
+             }
+           }
+           done(std::move(reply));
+         });
+}
+
+void StateClient::commit(const Transaction& txn, std::function<void(CommitReply)> done,
+                         bool urgent) {
+  Json guards = Json::array();
+  for (const auto& guard : txn.guards) guards.push_back({{"k", guard.key}, {"mark", guard.mark}});
+  Json apply = Json::array();
+  for (const auto& write : txn.writes) {
+    Json item{{"write", write.key}, {"data", write.data}};
+    if (write.lease) item["hold"] = *write.lease;
+    apply.push_back(std::move(item));
+  }
+  for (const auto& key : txn.drops) apply.push_back({{"drop", key}});
+  std::string body = Json{{"guards", std::move(guards)}, {"apply", std::move(apply)}}.dump();
+  submit({"POST", "/commit", std::move(body)}, timeout_, static_cast<double>(txn.changes()),
+         urgent, [done = std::move(done)](Status status, transport::Response response) {
+           CommitReply reply;
+           reply.status = status;
+           try {
+             if (status == Status::ok) {
+               reply.revision = protocol::integer(protocol::parse_object(response.body), "ledger");
+             } else if (status == Status::conflict) {
+               const Json json = protocol::parse_object(response.body);
+               reply.failed = protocol::array(json, "failed").get<std::vector<std::string>>();
+             } else if (status == Status::invalid) {
+               if (response.body.find("no such lease") != std::string::npos) {
+                 reply.status = Status::no_lease;
+               } else {
+                 spdlog::error("state service refuses a transaction: {}", response.body);
+               }
+             }
+           } catch (const std::exception& error) {
+             spdlog::error("state service: {}", error.what());
+             reply.status = Status::unknown;
+           }
+           done(std::move(reply));
+         });
+}
+
+void StateClient::settle(Transaction txn, std::function<bool()> wanted,
+                         std::function<void(CommitReply)> done) {
+  try_settle(std::make_shared<Settlement>(
+      Settlement{std::move(txn), std::move(wanted), std::move(done)}));
+}
+
+void StateClient::try_settle(std::shared_ptr<Settlement> job) {
+  commit(job->txn, [this, job](CommitReply reply) {
+    const auto again = [this, job] {
+      if (!job->wanted()) {
+        job->done({Status::unknown, 0, {}});
+        return;
+      }
+      const Seconds pause = std::min(0.05 * (1 << std::min(job->tries++, 4)), 0.5);
+      clock_.after(pause, [this, job] { try_settle(job); });
+    };
+    switch (reply.status) {
+      case Status::unknown:
+        job->in_doubt = true;
+        again();
+        return;
+      case Status::unavailable:
+        again();
+        return;
+      case Status::conflict: {
+        if (!job->in_doubt || job->txn.writes.empty()) {
+          job->done(std::move(reply));
+          return;
+        }
+        // Did an earlier copy of this very transaction make its own guards fail?
+        const Write& first = job->txn.writes.front();
+        get(first.key, [job, reply, again](Status status, Entry entry) {
+          if (status == Status::ok && entry.data == job->txn.writes.front().data) {
+            job->done({Status::ok, entry.mark, {}});
+          } else if (status == Status::ok || status == Status::missing) {
+            job->done(reply);
+          } else {
+            again();
+          }
+        });
+        return;
+      }
+      default:
+        job->done(std::move(reply));
+    }
+  });
+}
+
+void StateClient::grant(Seconds life, std::function<void(Status, std::uint64_t)> done) {
+  const auto life_ms = static_cast<std::uint64_t>(std::clamp(life * 1000, 100.0, 600'000.0));
+  submit({"POST", "/grants", Json{{"lifeMs", life_ms}}.dump()}, timeout_, 0, true,
+         [done = std::move(done)](Status status, transport::Response response) {
+           std::uint64_t lease = 0;
+           if (status == Status::ok) {
+             try {
+               lease = protocol::integer(protocol::parse_object(response.body), "hold");
+             } catch (const std::exception& error) {
+               spdlog::error("state service: {}", error.what());
+               status = Status::unknown;
+             }
+           }
+           done(status, lease);
+         });
+}
+
+void StateClient::extend(std::uint64_t lease, std::function<void(Status)> done) {
+  submit({"POST", "/grants/" + std::to_string(lease) + "/extend", ""}, timeout_, 0, true,
+         [done = std::move(done)](Status status, const transport::Response&) { done(status); });
+}
+
+void StateClient::release(std::uint64_t lease) {
+  submit({"DELETE", "/grants/" + std::to_string(lease), ""}, timeout_, 0, false,
+         [](Status, const transport::Response&) {});
+}
+
+void StateClient::watch(const std::string& prefix, std::uint64_t since, Seconds block,
+                        std::function<void(WatchReply)> done) {
+  const std::string target = "/watch?starts=" + prefix + "&since=" + std::to_string(since) +
+                             "&blockMs=" + std::to_string(static_cast<long>(block * 1000));
+  submit({"GET", target, ""}, block + timeout_, 0, true,
+         [done = std::move(done)](Status status, transport::Response response) {
+           WatchReply reply;
+           reply.status = status;
+           if (status == Status::ok) {
+             try {
+               const Json json = protocol::parse_object(response.body);
+               reply.revision = protocol::integer(json, "ledger");
+               for (const Json& item : protocol::array(json, "events")) {
+                 Event event;
+                 event.mark = protocol::integer(item, "mark");
+                 if (protocol::find(item, "drop") != nullptr) {
+                   event.key = protocol::text(item, "drop");
+                   event.dropped = true;
+                 } else {
+                   event.key = protocol::text(item, "write");
+                   event.data = protocol::need(item, "data");
+                 }
+                 reply.events.push_back(std::move(event));
+               }
+             } catch (const std::exception& error) {
+               spdlog::error("state service: {}", error.what());
+               reply.status = Status::unknown;
+             }
+           }
+           done(std::move(reply));
+         });
+}
+
+}  // namespace larkroad::storage
--- /dev/null
+++ b/src/storage/state_client.hpp
@@ -0,0 +1,145 @@
+// Client of the state service: a small store with revisions, leases and watches. Keeps this node's
+// part of the service's request limits and tells apart what was refused from what is in doubt.
+#pragma once
+
+#include <deque>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "protocol/json.hpp"
+#include "settings.hpp"
+#include "transport/http.hpp"
+
+namespace larkroad::storage {
+
+using protocol::Json;
+using transport::Seconds;
+
+enum class Status {
+  ok,
+  missing,      // no such key or lease
+  conflict,     // a guard failed
+  no_lease,     // a write names an expired lease
+  too_old,      // a watch from a revision no longer kept
+  unavailable,  // not carried out: refused, limited, or never sent
+  unknown,      // may have been carried out, or may yet be
+  invalid,      // the service calls the request malformed
+};
+
+struct Entry {
+  std::string key;
+  Json data;
+  std::uint64_t mark = 0;
+};
+
+struct Guard {
+  std::string key;
+  std::uint64_t mark = 0;  // 0: must not exist
+};
+
+struct Write {
+  std::string key;
+  Json data;
+  std::optional<std::uint64_t> lease;
+};
+
+struct Transaction {
+  std::vector<Guard> guards;
+  std::vector<Write> writes;
+  std::vector<std::string> drops;
+  size_t changes() const { return writes.size() + drops.size(); }
+};
+
+struct CommitReply {
+  Status status = Status::unknown;
+  std::uint64_t revision = 0;
+  std::vector<std::string> failed;
+};
+
+struct ListReply {
+  Status status = Status::unknown;
+  std::vector<Entry> entries;
+  bool more = false;
+  std::uint64_t revision = 0;
+};
+
+struct Event {
+  std::string key;
+  bool dropped = false;
+  Json data;
+  std::uint64_t mark = 0;
+};
+
+struct WatchReply {
+  Status status = Status::unknown;
+  std::uint64_t revision = 0;
+  std::vector<Event> events;
+};
+
+class StateClient {
+ public:
+  StateClient(transport::Clock& clock, transport::Client& client, const Settings& settings);
+
+  // The part of the service's limits this node may use, between 0 and 1.
+  void set_share(double share);
+
+  void get(const std::string& key, std::function<void(Status, Entry)> done);
+  void list(const std::string& prefix, const std::string& after,
+            std::function<void(ListReply)> done);
+  void commit(const Transaction& txn, std::function<void(CommitReply)> done, bool urgent = false);
+  // Commits until the outcome is certain: a transaction whose answer is lost is sent again as it
+  // was, and a guard that then fails is told from the transaction's own effect by reading back its
+  // first write. Gives up, with `unknown`, when `wanted` says no more.
+  void settle(Transaction txn, std::function<bool()> wanted,
+              std::function<void(CommitReply)> done);
+  void grant(Seconds life, std::function<void(Status, std::uint64_t)> done);
+  void extend(std::uint64_t lease, std::function<void(Status)> done);
+  void release(std::uint64_t lease);
+  void watch(const std::string& prefix, std::uint64_t since, Seconds block,
+             std::function<void(WatchReply)> done);
+
+  // How long calls have failed without a break; 0 when the latest one was answered.
+  Seconds failing_for() const;
+  // False while calls have gone unanswered for longer than one may take, but for a probe now and
+  // then: a caller with a user waiting then answers at once that the service cannot be asked.
+  bool worth_trying();
+  bool answered_ever() const { return answered_ever_; }
+  Seconds call_timeout() const { return timeout_; }
+
+ private:
+  struct Call {
+    transport::Request request;
+    Seconds timeout;
+    double changes;
+    Seconds queued_at;
+    std::function<void(Status, transport::Response)> done;
+  };
+  void submit(transport::Request request, Seconds timeout, double changes, bool urgent,
+              std::function<void(Status, transport::Response)> done);
+  void send(Call call);
+  void pump();
+  void refill();
+  void note(bool answered);
+  void try_settle(std::shared_ptr<struct Settlement> job);
+
+  transport::Clock& clock_;
+  transport::Client& client_;
+  std::string endpoint_;
+  double rps_;
+  double write_rps_;
+  double share_ = 1;
+  Seconds timeout_;
+  double tokens_ = 0;
+  double write_tokens_ = 0;
+  Seconds refilled_at_;
+  std::deque<Call> waiting_;
+  bool pump_armed_ = false;
+  Seconds failing_since_ = -1;
+  bool answered_ever_ = false;
+  Seconds probed_at_ = 0;
+};
+
+}  // namespace larkroad::storage
