--- a/src/protocol/cloud.cpp
+++ b/src/protocol/cloud.cpp
@@ -56,7 +56,8 @@
 
 std::vector<std::string> parse_rented(const std::string& body) {
   std::vector<std::string> out;
-  for (const Json& name : array(parse_object(body), "perches")) {
+  const Json json = parse_object(body);
+  for (const Json& name : array(json, "perches")) {
     if (!name.is_string()) throw Malformed("perches must be a list of strings");
     out.push_back(name.get<std::string>());
   }
--- a/src/protocol/jobs.cpp
+++ b/src/protocol/jobs.cpp
@@ -93,7 +93,7 @@
 
 Json encode_spec(const JobSpec& spec) {
   Json out{{"class", spec.job_class},   {"team", spec.team},
-           {"gang", spec.gang},         {"priority", static_cast<int>(spec.priority)},
+           {"gang", spec.gang},         {"priority", static_cast<unsigned>(spec.priority)},
            {"tasks", spec.tasks},       {"cpus", spec.cpus},
            {"gpus", spec.gpus},         {"memory_gb", spec.memory_gb},
            {"one_zone", spec.one_zone}, {"spread", spec.spread},
--- a/src/protocol/json.hpp
+++ b/src/protocol/json.hpp
@@ -29,4 +29,9 @@
 double amount(const Json& object, const char* key, double least = 0);
 const Json& array(const Json& object, const char* key);
 
+// What these return points into the object, so it must not be a temporary.
+const Json* find(Json&&, const char*) = delete;
+const Json& need(Json&&, const char*) = delete;
+const Json& array(Json&&, const char*) = delete;
+
 }  // namespace larkroad::protocol
--- a/src/transport/http_client.cpp
+++ b/src/transport/http_client.cpp
@@ -22,10 +22,12 @@
 class HttpClient::Connection : public std::enable_shared_from_this<Connection> {
  public:
   Connection(HttpClient& owner, std::string endpoint)
-      : owner_(owner), endpoint_(std::move(endpoint)), socket_(owner.io_) {
-    ++owner_.open_;
+      : owner_(owner.self_), endpoint_(std::move(endpoint)), socket_(owner.io_) {
+    ++owner.open_;
+  }
+  ~Connection() {
+    if (*owner_ != nullptr) --(*owner_)->open_;
   }
-  ~Connection() { --owner_.open_; }
 
   void start(Request request, Seconds timeout, OnReply on_reply) {
     on_reply_ = std::move(on_reply);
@@ -39,7 +41,7 @@
     http_parser_init(&parser_, HTTP_RESPONSE);
     parser_.data = this;
     complete_ = false;
-    timer_ = owner_.clock_.after(timeout, [self = weak_from_this()] {
+    timer_ = (*owner_)->clock_.after(timeout, [self = weak_from_this()] {
       if (auto me = self.lock()) {
         me->timer_ = 0;
         me->finish(false);
@@ -72,7 +74,7 @@
     if (!error && colon != std::string::npos) port = std::atoi(endpoint_.c_str() + colon + 1);
     if (error || port <= 0 || port > 65535) {
       // Never from inside call(): the caller must not be entered again before it returns.
-      owner_.clock_.after(0, [me = shared_from_this()] { me->finish(false); });
+      (*owner_)->clock_.after(0, [me = shared_from_this()] { me->finish(false); });
       return;
     }
     socket_.async_connect(
@@ -131,8 +133,9 @@
   }
 
   void finish(bool answered) {
+    if (*owner_ == nullptr) return;
     if (timer_ != 0) {
-      owner_.clock_.cancel(timer_);
+      (*owner_)->clock_.cancel(timer_);
       timer_ = 0;
     }
     auto on_reply = std::move(on_reply_);
@@ -142,7 +145,7 @@
     sent_ = false;
     Response answer = std::move(answer_);
     if (answered && !dead_) {
-      owner_.park(shared_from_this());
+      (*owner_)->park(shared_from_this());
     } else {
       close();
     }
@@ -170,7 +173,7 @@
   }
   static const http_parser_settings kCallbacks;
 
-  HttpClient& owner_;
+  std::shared_ptr<HttpClient*> owner_;
   std::string endpoint_;
   asio::ip::tcp::socket socket_;
   std::array<char, 8192> buffer_;
@@ -189,11 +192,14 @@
     HttpClient::Connection::callbacks();
 
 HttpClient::HttpClient(asio::io_context& io, Clock& clock, size_t max_sockets)
-    : io_(io), clock_(clock), max_sockets_(max_sockets) {
+    : io_(io),
+      clock_(clock),
+      max_sockets_(max_sockets),
+      self_(std::make_shared<HttpClient*>(this)) {
   clock_.after(kIdleLimit / 3, [this] { sweep(); });
 }
 
-HttpClient::~HttpClient() = default;
+HttpClient::~HttpClient() { *self_ = nullptr; }
 
 void HttpClient::call(const std::string& endpoint, Request request, Seconds timeout,
                       OnReply on_reply) {
--- a/src/transport/http_client.hpp
+++ b/src/transport/http_client.hpp
@@ -32,6 +32,7 @@
   size_t max_sockets_;
   size_t open_ = 0;
   std::unordered_map<std::string, std::vector<std::shared_ptr<Connection>>> idle_;
+  std::shared_ptr<HttpClient*> self_;  // empty once this is gone; connections may outlive it
 };
 
 }  // namespace larkroad::transport
--- a/src/transport/http_server.cpp
+++ b/src/transport/http_server.cpp
@@ -37,16 +37,18 @@
 
 class HttpServer::Session : public std::enable_shared_from_this<Session> {
  public:
-  Session(HttpServer& owner, asio::ip::tcp::socket socket)
-      : owner_(owner), socket_(std::move(socket)) {
-    ++owner_.open_;
+  Session(std::shared_ptr<HttpServer*> owner, asio::ip::tcp::socket socket)
+      : owner_(std::move(owner)), socket_(std::move(socket)) {
+    ++(*owner_)->open_;
     http_parser_init(&parser_, HTTP_REQUEST);
     parser_.data = this;
   }
   ~Session() {
-    if (timer_ != 0) owner_.clock_.cancel(timer_);
-    --owner_.open_;
-    if (owner_.waiting_) owner_.accept();
+    HttpServer* owner = *owner_;
+    if (owner == nullptr) return;
+    disarm();
+    --owner->open_;
+    if (owner->waiting_) owner->accept();
   }
 
   void start() {
@@ -94,7 +96,9 @@
     http_parser_pause(&parser_, 0);
     // The answer may come at once or later; it must come no more than once.
     auto once = std::make_shared<bool>(false);
-    owner_.handler_(std::move(request_), [me = shared_from_this(), once](Response response) {
+    HttpServer* owner = *owner_;
+    if (owner == nullptr) return;
+    owner->handler_(std::move(request_), [me = shared_from_this(), once](Response response) {
       if (*once) return;
       *once = true;
       me->write(std::move(response));
@@ -133,7 +137,8 @@
 
   void arm(Seconds limit) {
     disarm();
-    timer_ = owner_.clock_.after(limit, [weak = weak_from_this()] {
+    if (*owner_ == nullptr) return;
+    timer_ = (*owner_)->clock_.after(limit, [weak = weak_from_this()] {
       if (auto me = weak.lock()) {
         me->timer_ = 0;
         asio::error_code ignored;
@@ -142,7 +147,7 @@
     });
   }
   void disarm() {
-    if (timer_ != 0) owner_.clock_.cancel(timer_);
+    if (timer_ != 0 && *owner_ != nullptr) (*owner_)->clock_.cancel(timer_);
     timer_ = 0;
   }
 
@@ -180,7 +185,7 @@
   }
   static const http_parser_settings kCallbacks;
 
-  HttpServer& owner_;
+  std::shared_ptr<HttpServer*> owner_;
   asio::ip::tcp::socket socket_;
   std::array<char, 4096> buffer_;
   size_t begin_ = 0;
@@ -203,7 +208,8 @@
       clock_(clock),
       acceptor_(io),
       max_connections_(max_connections),
-      handler_(std::move(handler)) {
+      handler_(std::move(handler)),
+      self_(std::make_shared<HttpServer*>(this)) {
   const asio::ip::tcp::endpoint endpoint(asio::ip::make_address_v4(listen.host), listen.port);
   acceptor_.open(endpoint.protocol());
   acceptor_.set_option(asio::ip::tcp::acceptor::reuse_address(true));
@@ -212,17 +218,21 @@
   accept();
 }
 
+HttpServer::~HttpServer() { *self_ = nullptr; }
+
 void HttpServer::accept() {
   waiting_ = open_ >= max_connections_;
   if (waiting_) return;  // goes on when a session ends
-  acceptor_.async_accept([this](const asio::error_code& error, asio::ip::tcp::socket socket) {
+  acceptor_.async_accept([this, self = self_](const asio::error_code& error,
+                                              asio::ip::tcp::socket socket) {
+    if (*self == nullptr) return;
     if (error) {
       // Out of sockets, most likely: try again shortly rather than spin.
       spdlog::debug("accept: {}", error.message());
       clock_.after(0.05, [this] { accept(); });
       return;
     }
-    std::make_shared<Session>(*this, std::move(socket))->start();
+    std::make_shared<Session>(self_, std::move(socket))->start();
     accept();
   });
 }
--- a/src/transport/http_server.hpp
+++ b/src/transport/http_server.hpp
@@ -16,6 +16,7 @@
   // Throws std::system_error when it cannot listen.
   HttpServer(asio::io_context& io, Clock& clock, const Address& listen, size_t max_connections,
              Handler handler);
+  ~HttpServer();
 
  private:
   class Session;
@@ -28,6 +29,9 @@
   size_t open_ = 0;
   bool waiting_ = false;
   Handler handler_;
+  // What a session reaches its server by: empty once the server is gone, which a session whose
+  // handlers still wait in the event loop may outlive.
+  std::shared_ptr<HttpServer*> self_;
 };
 
 }  // namespace larkroad::transport
--- /dev/null
+++ b/tests/fleet_test.cpp
@@ -0,0 +1,104 @@
+#include "coordination/fleet.hpp"
+
+#include <gtest/gtest.h>
+
+#include "support.hpp"
+
+namespace larkroad::coordination {
+namespace {
+
+class Fleet : public ::testing::Test {
+ protected:
+  Fleet() : settings(testing::settings()), ledger(settings) { ledger.set_types(testing::types()); }
+  FleetPlan round(Seconds now = 100) { return plan_fleet(ledger, refusals, pending, now); }
+  static int rented(const FleetPlan& plan) {
+    int count = 0;
+    for (const auto& rent : plan.rent) count += rent.count;
+    return count;
+  }
+
+  Settings settings;
+  Ledger ledger;
+  Refusals refusals;
+  std::map<Market, int> pending;
+};
+
+TEST_F(Fleet, RentsTheCheapestThatFits) {
+  testing::add(ledger, testing::spec("job-1", 2));
+  const FleetPlan out = round();
+  ASSERT_EQ(out.rent.size(), 1u);
+  EXPECT_EQ(out.rent[0].market.type, "small");
+  EXPECT_FALSE(out.rent[0].market.spot);
+  EXPECT_EQ(out.rent[0].count, 1);
+}
+
+TEST_F(Fleet, RentsSpotWhereTheJobAllows) {
+  auto spec = testing::spec("job-1");
+  spec.spot = true;
+  testing::add(ledger, spec);
+  ASSERT_EQ(round().rent.size(), 1u);
+  EXPECT_TRUE(round().rent[0].market.spot);
+}
+
+TEST_F(Fleet, CountsWhatIsUpOnItsWayOrAskedFor) {
+  testing::add(ledger, testing::spec("job-1", 6));
+  EXPECT_EQ(rented(round()), 3);
+  testing::up(ledger, "i-1", "small");
+  EXPECT_EQ(rented(round()), 2);
+  Machine& booting = ledger.machine("i-2");
+  booting.rented_at = 90;
+  ledger.set_type(booting, "small");
+  EXPECT_EQ(rented(round()), 1);
+  pending[{"small", "east", false}] = 1;
+  EXPECT_EQ(rented(round()), 0);
+}
+
+TEST_F(Fleet, NeverRentsBeyondATeamsLimit) {
+  testing::add(ledger, testing::spec("job-1", 1000));
+  int cpus = 0;
+  for (const auto& rent : round().rent) {
+    cpus += rent.count * static_cast<int>(ledger.type(rent.market.type)->cpus);
+  }
+  EXPECT_LE(cpus, 32);
+}
+
+TEST_F(Fleet, TurnsToAnotherMarketWhenRefused) {
+  testing::add(ledger, testing::spec("job-1"));
+  const Market first = round().rent.at(0).market;
+  refusals.refused(first, 100, 5, 40);
+  EXPECT_NE(round().rent.at(0).market, first);
+  EXPECT_EQ(round(106).rent.at(0).market, first);
+}
+
+TEST_F(Fleet, RefusalsBackOffUpToALimit) {
+  const Market market{"small", "east", false};
+  Seconds now = 0;
+  for (const Seconds pause : {5.0, 10.0, 20.0, 40.0, 40.0}) {
+    refusals.refused(market, now, 5, 40);
+    EXPECT_FALSE(refusals.open(market, now + pause - 0.1));
+    EXPECT_TRUE(refusals.open(market, now + pause));
+    now += 100;
+  }
+  refusals.granted(market);
+  refusals.refused(market, now, 5, 40);
+  EXPECT_TRUE(refusals.open(market, now + 5));
+}
+
+TEST_F(Fleet, ReturnsWhatIsOfNoUse) {
+  Machine& idle = testing::up(ledger, "i-1", "small");
+  idle.idle_since = 10;
+  EXPECT_TRUE(round(60).give_back.empty());  // a minute is charged anyhow
+  EXPECT_EQ(round(200).give_back, std::vector<std::string>{"i-1"});
+
+  Machine& busy = testing::up(ledger, "i-2", "small");
+  auto& job = testing::add(ledger, testing::spec("job-1"));
+  ledger.place(job, 0, busy, 1, 100);
+  Machine& never = ledger.machine("i-3");
+  never.rented_at = 100;
+  ledger.set_type(never, "small");
+  testing::up(ledger, "i-4", "small").silent = true;
+  EXPECT_EQ(round(1000).give_back, (std::vector<std::string>{"i-1", "i-3", "i-4"}));
+}
+
+}  // namespace
+}  // namespace larkroad::coordination
--- /dev/null
+++ b/tests/planner_test.cpp
@@ -0,0 +1,237 @@
+#include "coordination/planner.hpp"
+
+#include <gtest/gtest.h>
+
+#include "support.hpp"
+
+namespace larkroad::coordination {
+namespace {
+
+class Planner : public ::testing::Test {
+ protected:
+  Planner() : settings(testing::settings()), ledger(settings) { ledger.set_types(testing::types()); }
+
+  Plan round(Seconds now = 100) { return plan(ledger, holds, now, limits); }
+  // Plans and places, as the leader does.
+  Plan carried_out(Seconds now = 100) {
+    const Plan out = round(now);
+    for (const auto& assignment : out.assignments) {
+      Job& job = *ledger.job(assignment.job);
+      for (const auto& [task, machine] : assignment.tasks) {
+        ledger.place(job, task, ledger.machine(machine), 1, now);
+      }
+    }
+    return out;
+  }
+  static size_t placed(const Plan& plan, const std::string& job) {
+    for (const auto& a : plan.assignments) {
+      if (a.job == job) return a.tasks.size();
+    }
+    return 0;
+  }
+
+  Settings settings;
+  Ledger ledger;
+  Holds holds;
+  PlanLimits limits;
+};
+
+TEST_F(Planner, PlacesAnArrayAsFarAsThereIsRoom) {
+  testing::up(ledger, "i-1", "small");
+  testing::up(ledger, "i-2", "small");
+  auto& job = testing::add(ledger, testing::spec("job-1", 10));
+  EXPECT_EQ(placed(carried_out(), "job-1"), 4u);
+  EXPECT_EQ(job.waiting(), 6u);
+  EXPECT_TRUE(round().assignments.empty());
+  ledger.unplace(job, 0, 101);
+  EXPECT_EQ(placed(round(), "job-1"), 1u);
+}
+
+TEST_F(Planner, NeverExceedsATeamsLimit) {
+  for (int i = 0; i < 10; ++i) testing::up(ledger, "i-" + std::to_string(i), "large");
+  testing::add(ledger, testing::spec("job-1", 100), 1);
+  testing::add(ledger, testing::spec("job-2", 100), 2);
+  const Plan out = carried_out();
+  EXPECT_EQ(placed(out, "job-1") + placed(out, "job-2"), 16u);  // 32 CPUs at most, 2 each
+  EXPECT_TRUE(round().assignments.empty());
+}
+
+TEST_F(Planner, OrderOfWork) {
+  testing::add(ledger, testing::spec("job-1"), 1);
+  auto urgent = testing::spec("job-2");
+  urgent.priority = protocol::Priority::high;
+  testing::add(ledger, urgent, 3);
+  testing::add(ledger, testing::spec("job-3"), 2);
+  testing::add(ledger, testing::spec("job-4", 100), 0);  // beyond its team's guarantee
+  std::vector<std::string> ids;
+  for (const Job* job : order_of_work(ledger)) ids.push_back(job->id());
+  // job-4 came first and exceeds the guarantee; so do all that come after it in its team.
+  EXPECT_EQ(ids, (std::vector<std::string>{"job-2", "job-4", "job-1", "job-3"}));
+}
+
+TEST_F(Planner, GuaranteeCountsTheTeamsEarlierJobs) {
+  testing::add(ledger, testing::spec("job-1", 4, 2), 1);
+  testing::add(ledger, testing::spec("job-2", 4, 2), 2);
+  testing::add(ledger, testing::spec("job-3", 1, 2), 3);
+  auto other = testing::spec("job-4", 8, 2);
+  other.team = "blue";
+  testing::add(ledger, other, 4);
+  EXPECT_EQ(within_guarantee(ledger), (std::set<std::string>{"job-1", "job-2", "job-4"}));
+}
+
+TEST_F(Planner, OnlyWhereTheJobAllows) {
+  const struct {
+    const char* what;
+    const char* type;
+    const char* zone;
+    bool spot;
+    void (*change)(protocol::JobSpec&);
+    size_t placed;
+  } cases[] = {
+      {"anything goes", "small", "west", false, [](protocol::JobSpec&) {}, 1},
+      {"spot without leave", "small", "west", true, [](protocol::JobSpec&) {}, 0},
+      {"spot with leave", "small", "west", true, [](protocol::JobSpec& s) { s.spot = true; }, 1},
+      {"another zone", "small", "west", false, [](protocol::JobSpec& s) { s.zone = "east"; }, 0},
+      {"its zone", "small", "east", false, [](protocol::JobSpec& s) { s.zone = "east"; }, 1},
+      {"another type", "small", "east", false,
+       [](protocol::JobSpec& s) { s.types = {{"large"}}; }, 0},
+      {"too large", "small", "east", false, [](protocol::JobSpec& s) { s.cpus = 5; }, 0},
+  };
+  for (const auto& c : cases) {
+    ledger.clear();
+    testing::up(ledger, "i-1", c.type, c.zone, c.spot);
+    auto spec = testing::spec("job-1");
+    c.change(spec);
+    testing::add(ledger, spec);
+    EXPECT_EQ(placed(round(), "job-1"), c.placed) << c.what;
+  }
+}
+
+TEST_F(Planner, LeavesOutMachinesThatCannotBeReliedOn) {
+  const struct {
+    const char* what;
+    void (*change)(Machine&);
+  } cases[] = {
+      {"not heard", [](Machine& m) { m.heard = false; }},
+      {"silent", [](Machine& m) { m.silent = true; }},
+      {"on its way back", [](Machine& m) { m.returning = true; }},
+      {"to be taken", [](Machine& m) { m.taken_at = 105; }},
+      {"fails every task", [](Machine& m) { m.suspect = true; }},
+      {"said it was full", [](Machine& m) { m.refused_until = 101; }},
+  };
+  for (const auto& c : cases) {
+    ledger.clear();
+    c.change(testing::up(ledger, "i-1", "small"));
+    testing::add(ledger, testing::spec("job-1"));
+    EXPECT_TRUE(round().assignments.empty()) << c.what;
+  }
+}
+
+TEST_F(Planner, OneZoneAndSpread) {
+  testing::up(ledger, "i-1", "small", "east");
+  testing::up(ledger, "i-2", "small", "west");
+  testing::up(ledger, "i-3", "small", "west");
+  auto together = testing::spec("job-1", 4);
+  together.one_zone = true;
+  auto& job = testing::add(ledger, together);
+  const Plan out = carried_out();
+  ASSERT_EQ(placed(out, "job-1"), 4u);
+  for (const auto& [task, machine] : out.assignments[0].tasks) EXPECT_NE(machine, "i-1");
+  // Tasks of an old attempt keep the job in their zone until they are gone.
+  for (std::uint32_t task = 1; task < 4; ++task) ledger.unplace(job, task, 101);
+  auto* blocked = &testing::up(ledger, "i-2", "small", "west");
+  blocked->silent = true;
+  const Plan again = round();
+  for (const auto& [task, machine] : again.assignments[0].tasks) EXPECT_EQ(machine, "i-3");
+
+  ledger.clear();
+  testing::up(ledger, "i-1", "large", "east");
+  testing::up(ledger, "i-2", "small", "west");
+  auto spread = testing::spec("job-2", 5);
+  spread.spread = true;
+  testing::add(ledger, spread);
+  size_t east = 0;
+  const Plan half = round();
+  for (const auto& [task, machine] : half.assignments[0].tasks) east += machine == "i-1";
+  EXPECT_EQ(east, 3u);
+  EXPECT_EQ(half.assignments[0].tasks.size(), 5u);
+}
+
+TEST_F(Planner, PrefersTheMachineWithTheImage) {
+  testing::up(ledger, "i-1", "large");
+  testing::up(ledger, "i-2", "large");
+  testing::up(ledger, "i-3", "large").images["image"] = {1, 0};
+  testing::add(ledger, testing::spec("job-1"));
+  EXPECT_EQ(round().assignments[0].tasks[0].second, "i-3");
+}
+
+TEST_F(Planner, LeavesGpuMachinesToGpuWork) {
+  testing::up(ledger, "i-1", "gpu");
+  testing::up(ledger, "i-2", "large");
+  testing::add(ledger, testing::spec("job-1"));
+  EXPECT_EQ(round().assignments[0].tasks[0].second, "i-2");
+}
+
+TEST_F(Planner, AGangStartsWholeOrNotAtAll) {
+  testing::up(ledger, "i-1", "small");
+  auto gang = testing::spec("job-1", 4);
+  gang.gang = true;
+  testing::add(ledger, gang);
+  EXPECT_TRUE(round().assignments.empty());
+  // It holds the room it has found, and nobody else gets it.
+  ASSERT_NE(holds.find("job-1"), nullptr);
+  testing::add(ledger, testing::spec("job-2"), 5);
+  EXPECT_TRUE(round(101).assignments.empty());
+  testing::up(ledger, "i-2", "small");
+  const Plan out = round(102);
+  EXPECT_EQ(placed(out, "job-1"), 4u);
+  EXPECT_EQ(holds.find("job-1"), nullptr);
+}
+
+TEST_F(Planner, HoldsEndAtTheirLimitAndTheGangQueuesAgain) {
+  testing::up(ledger, "i-1", "small");
+  auto gang = testing::spec("job-1", 4);
+  gang.gang = true;
+  auto& job = testing::add(ledger, gang);
+  testing::add(ledger, testing::spec("job-2"), 5);
+  round(100);
+  EXPECT_TRUE(round(100 + limits.hold_s - 1).assignments.empty());
+  const Plan out = round(100 + limits.hold_s);
+  EXPECT_EQ(placed(out, "job-2"), 1u);
+  EXPECT_EQ(holds.find("job-1"), nullptr);
+  EXPECT_GT(job.retry_at, 100 + limits.hold_s);
+}
+
+TEST_F(Planner, TwoGangsDoNotBlockEachOther) {
+  testing::up(ledger, "i-1", "small");
+  testing::up(ledger, "i-2", "small");
+  auto first = testing::spec("job-1", 6);
+  auto second = testing::spec("job-2", 6);
+  first.gang = second.gang = true;
+  testing::add(ledger, first, 1);
+  testing::add(ledger, second, 2);
+  round();
+  EXPECT_NE(holds.find("job-1"), nullptr);
+  EXPECT_EQ(holds.find("job-2"), nullptr);
+  testing::up(ledger, "i-3", "small");
+  EXPECT_EQ(placed(round(101), "job-1"), 6u);
+}
+
+TEST_F(Planner, GoesOnWhereTimeRanOut) {
+  testing::up(ledger, "i-1", "large");
+  for (int i = 0; i < 4; ++i) testing::add(ledger, testing::spec("job-" + std::to_string(i)), i);
+  int looked = 0;
+  limits.out_of_time = [&] { return ++looked >= 2; };
+  const Plan first = round();
+  EXPECT_EQ(first.stopped_at, 2u);
+  EXPECT_EQ(first.assignments.size(), 2u);
+  limits.start_at = first.stopped_at;
+  limits.out_of_time = [] { return false; };
+  const Plan second = round();
+  EXPECT_EQ(second.stopped_at, 0u);
+  ASSERT_EQ(second.assignments.size(), 2u);
+  EXPECT_EQ(second.assignments[0].job, "job-2");
+}
+
+}  // namespace
+}  // namespace larkroad::coordination
--- /dev/null
+++ b/tests/settings_test.cpp
@@ -0,0 +1,91 @@
+#include "settings.hpp"
+
+#include <gtest/gtest.h>
+
+#include "support.hpp"
+
+namespace larkroad {
+namespace {
+
+std::string replaced(std::string text, const std::string& from, const std::string& to) {
+  const auto at = text.find(from);
+  EXPECT_NE(at, std::string::npos) << from;
+  return text.replace(at, from.size(), to);
+}
+
+TEST(Settings, ReadsEveryField) {
+  const Settings s = testing::settings();
+  EXPECT_EQ(s.member, "node-0");
+  EXPECT_EQ(s.client_listen.text(), "127.0.0.1:18080");
+  ASSERT_EQ(s.peers.size(), 2u);
+  EXPECT_EQ(s.peers[1].addr.host, "127.0.0.3");
+  ASSERT_EQ(s.teams.size(), 2u);
+  EXPECT_DOUBLE_EQ(s.team("red")->gpus_max, 4);
+  EXPECT_DOUBLE_EQ(s.team("blue")->gpus_max, 0);
+  EXPECT_EQ(s.team("green"), nullptr);
+  ASSERT_EQ(s.objectives.size(), 1u);
+  EXPECT_DOUBLE_EQ(s.objectives[0].within_s, 1);
+  EXPECT_DOUBLE_EQ(s.clock_error_s, 0.1);
+  EXPECT_EQ(s.txn_ops, 8);
+  EXPECT_EQ(s.sockets, 200);
+}
+
+TEST(Settings, UnknownFieldsPass) {
+  EXPECT_NO_THROW(parse_settings(testing::settings_text() + "\n[cluster.future]\nx = 1\n"));
+  EXPECT_NO_THROW(parse_settings("future = [1, 2]\n" + testing::settings_text()));
+}
+
+TEST(Settings, ErrorsNameTheField) {
+  const struct {
+    const char* from;
+    const char* to;
+    const char* named;
+  } cases[] = {
+      {"member = \"node-0\"", "", "member"},
+      {"zone = \"east\"", "zone = 3", "zone"},
+      {"client_listen = \"127.0.0.1:18080\"", "client_listen = \"127.0.0.1\"", "client_listen"},
+      {"client_listen = \"127.0.0.1:18080\"", "client_listen = \"127.0.0.1:99999\"",
+       "client_listen"},
+      {"peer_bind = \"127.0.0.1:18081\"", "peer_bind = \"127.0.0.1:80x\"", "peer_bind"},
+      {"member = \"node-1\"", "member = \"node-0\"", "peers[0].member"},
+      {"cloud = \"127.0.0.9:443\"", "", "endpoints.cloud"},
+      {"zones = [\"east\", \"west\"]", "zones = []", "cluster.zones"},
+      {"zones = [\"east\", \"west\"]", "zones = \"east\"", "cluster.zones"},
+      {"cpus_max = 32.0", "cpus_max = 8.0", "cluster.teams[0].cpus_max"},
+      {"cpus_max = 32.0", "cpus_max = -1.0", "cluster.teams[0].cpus_max"},
+      {"name = \"blue\"", "name = \"red\"", "cluster.teams[1].name"},
+      {"report_s = 2.0", "report_s = 0.0", "cluster.workers.report_s"},
+      {"report_s = 2.0", "report_s = nan", "cluster.workers.report_s"},
+      {"lease_s = 12.0", "lease_s = 1.0", "cluster.workers.lease_s"},
+      {"cancel_s = 30.0", "cancel_s = 12.0", "cluster.workers.cancel_s"},
+      {"txn_ops = 8", "txn_ops = 8.5", "cluster.state.txn_ops"},
+      {"txn_ops = 8", "txn_ops = 0", "cluster.state.txn_ops"},
+      {"rps = 100.0", "rps = \"many\"", "cluster.state.rps"},
+      {"sockets = 200", "", "cluster.resources.sockets"},
+      {"[cluster.cloud]", "[cluster.sky]", "cluster.cloud"},
+  };
+  for (const auto& c : cases) {
+    SCOPED_TRACE(std::string(c.from) + " -> " + c.to);
+    try {
+      parse_settings(replaced(testing::settings_text(), c.from, c.to));
+      ADD_FAILURE() << "accepted";
+    } catch (const SettingsError& error) {
+      EXPECT_NE(std::string(error.what()).find(std::string("settings: ") + c.named + " "),
+                std::string::npos)
+          << error.what();
+    }
+  }
+}
+
+TEST(Settings, TellsWhereItIsNotToml) {
+  try {
+    parse_settings("member = \n");
+    FAIL() << "accepted";
+  } catch (const SettingsError& error) {
+    EXPECT_NE(std::string(error.what()).find("line 1"), std::string::npos) << error.what();
+  }
+  EXPECT_THROW(load_settings("/nonexistent/settings.toml"), SettingsError);
+}
+
+}  // namespace
+}  // namespace larkroad
--- /dev/null
+++ b/tests/support.hpp
@@ -0,0 +1,122 @@
+// What several tests share: a deployment of the tests' own, machines and jobs for a ledger.
+#pragma once
+
+#include <string>
+
+#include "coordination/ledger.hpp"
+#include "settings.hpp"
+
+namespace larkroad::testing {
+
+// A small deployment in two zones with two teams; no figures of any real one.
+inline std::string settings_text() {
+  return R"(
+member = "node-0"
+zone = "east"
+client_listen = "127.0.0.1:18080"
+peer_bind = "127.0.0.1:18081"
+
+[[peers]]
+member = "node-1"
+zone = "west"
+addr = "127.0.0.2:18081"
+
+[[peers]]
+member = "node-2"
+zone = "east"
+addr = "127.0.0.3:18081"
+
+[endpoints]
+cloud = "127.0.0.9:443"
+state = "127.0.0.8:2379"
+
+[cluster]
+count = 3
+zones = ["east", "west"]
+clock_error_ms = 100.0
+
+[[cluster.teams]]
+name = "red"
+cpus = 16.0
+cpus_max = 32.0
+gpus = 2.0
+gpus_max = 4.0
+
+[[cluster.teams]]
+name = "blue"
+cpus = 16.0
+cpus_max = 64.0
+
+[[cluster.objectives]]
+kind = "wait"
+class = "short"
+within_s = 1.0
+share = 0.9
+
+[cluster.workers]
+report_s = 2.0
+lease_s = 12.0
+gang_wait_s = 20.0
+gang_peer_s = 4.0
+cancel_s = 30.0
+
+[cluster.state]
+rps = 100.0
+write_rps = 50.0
+value_kb = 4.0
+txn_ops = 8
+
+[cluster.cloud]
+rps = 5.0
+list_lag_s = 4.0
+
+[cluster.resources]
+cpu = 0.05
+ram_mb = 40.0
+sockets = 200
+)";
+}
+
+inline Settings settings() { return parse_settings(settings_text()); }
+
+inline std::vector<protocol::MachineType> types() {
+  protocol::MachineType small{"small", 4, 0, 16, 50, 0.5, 0.2, 0.05, 30, {"east", "west"}};
+  protocol::MachineType large{"large", 16, 0, 64, 50, 0.5, 1.0, 0.25, 40, {"east", "west"}};
+  protocol::MachineType gpu{"gpu", 16, 4, 64, 100, 0.5, 8.0, 2.0, 50, {"east"}};
+  return {small, large, gpu};
+}
+
+inline protocol::JobSpec spec(const std::string& id, std::uint32_t tasks = 1, double cpus = 2) {
+  protocol::JobSpec s;
+  s.id = id;
+  s.job_class = "short";
+  s.team = "red";
+  s.tasks = tasks;
+  s.cpus = cpus;
+  s.memory_gb = 1;
+  s.image = "image";
+  s.image_gb = 1;
+  s.estimate_s = 10;
+  return s;
+}
+
+inline coordination::Job& add(coordination::Ledger& ledger, const protocol::JobSpec& spec,
+                              double submitted_at = 0) {
+  return ledger.add_job(spec.id, {spec, submitted_at, 64, false}, 1);
+}
+
+inline coordination::Machine& up(coordination::Ledger& ledger, const std::string& name,
+                                 const std::string& type, const std::string& zone = "east",
+                                 bool spot = false) {
+  auto& m = ledger.machine(name);
+  m.heard = true;
+  m.session = 1;
+  m.zone = zone;
+  m.spot = spot;
+  m.address = "10.0.0.1:1";
+  m.rented_at = 0.001;
+  ledger.set_type(m, type);
+  return m;
+}
+
+}  // namespace larkroad::testing
