--- a/src/protocol/jobs.cpp
+++ b/src/protocol/jobs.cpp
@@ -52,7 +52,11 @@
   spec.job_class = name(body, "lane");
   spec.team = name(body, "crew");
   const std::string shape = text(body, "shape");
-  if (shape != "sweep" && shape != "gang") throw Malformed("shape is unknown");
+  // A `service` is independent tasks that end only when they are cancelled: to larkroad an array
+  // (docs/QUESTIONS.md).
+  if (shape != "sweep" && shape != "gang" && shape != "service") {
+    throw Malformed("shape is unknown");
+  }
   spec.gang = shape == "gang";
   const std::string rank = text(body, "rank");
   const auto* priority = std::find_if(kPriorities.begin(), kPriorities.end(),
