Triage: serve jobs that can still meet their aims first

Cause: with more proofs than their team's limit can run, first come first served made nearly all late (median wait 205 s of a deadline near 190 s).

--- a/src/coordination/fleet.cpp
+++ b/src/coordination/fleet.cpp
@@ -13,91 +13,141 @@
 // The cloud charges a machine for at least a minute.
 constexpr Seconds kShortestRental = 60;
 // An idle machine is kept for this many times what it takes to boot another.
-constexpr double kIdlePatience = 2;
+constexpr double kIdlePatience = 1;
+// Room for what may come is rented only in markets this many times the cheapest, at most.
+constexpr double kForecastPrice = 3;
 
 struct Space {
   const MachineType* type;
   std::string zone;
   bool spot;
   Resources room;
+  const Machine* machine = nullptr;  // null: on order
+  bool wanted = false;               // something is, or may soon be, placed here
 };
 
 double hourly(const MachineType& type, bool spot) { return spot ? type.spot_price : type.price; }
 
-}  // namespace
-
-void Refusals::refused(const Market& market, Seconds now, Seconds first_pause,
-                       Seconds longest_pause) {
-  Pause& pause = pauses_[market];
-  pause.length =
-      pause.length == 0 ? first_pause : std::min(pause.length * 2, longest_pause);
-  pause.until = now + pause.length;
-}
-
-bool Refusals::open(const Market& market, Seconds now) const {
-  const auto it = pauses_.find(market);
-  return it == pauses_.end() || now >= it->second.until;
+// How many tasks of a class are to find room at once, so that the aims that leave no time to boot
+// a machine are met as often as they ask: what is there on average, and a margin for chance.
+double room_wanted(const Ledger& ledger, const std::string& name, const ClassPicture& picture,
+                   Seconds now) {
+  const JobSpec& spec = picture.latest;
+  Seconds soonest = -1;
+  for (const auto& type : ledger.types()) {
+    if (!capacity_of(type).fits(needs_of(spec))) continue;
+    if (spec.types && std::find(spec.types->begin(), spec.types->end(), type.name) ==
+                          spec.types->end()) {
+      continue;
+    }
+    const Seconds fetch = type.fetch_gb_per_s > 0 ? spec.image_gb / type.fetch_gb_per_s : 0;
+    if (soonest < 0 || type.boot_s + fetch < soonest) soonest = type.boot_s + fetch;
+  }
+  double share = 0;
+  for (const auto& aim : ledger.settings().objectives) {
+    if (aim.kind != "wait" || aim.job_class != name || aim.within_s >= soonest) continue;
+    share = std::max(share, aim.share);
+  }
+  if (share <= 0) return 0;
+  const Seconds run = picture.mean_run > 0 ? picture.mean_run : ledger.expected_run(spec);
+  const double mean = ledger.arrival_rate(picture, now) * run;
+  // Jobs of many tasks come in lumps, which spreads the number that is there.
+  const double lump = picture.tasks > 0 ? picture.squares / picture.tasks : 1;
+  const double miss = std::max(1e-3, 1 - share);
+  return mean + std::sqrt(2 * std::log(1 / miss) * mean * lump);
 }
 
-FleetPlan plan_fleet(Ledger& ledger, const Refusals& refusals,
-                     const std::map<Market, int>& pending, Seconds now) {
-  FleetPlan out;
-
-  // Room that is there or on its way.
-  std::vector<Space> spaces;
-  for (const auto& [name, machine] : ledger.machines()) {
-    const MachineType* type = ledger.type(machine.type);
-    if (type == nullptr || machine.returning || machine.silent || machine.taken_at ||
-        machine.suspect) {
-      continue;
+class Round {
+ public:
+  Round(Ledger& ledger, const Refusals& refusals, const std::map<Market, int>& pending,
+        Seconds now)
+      : ledger_(ledger), refusals_(refusals), now_(now) {
+    // Room that is there or on its way.
+    for (const auto& [name, machine] : ledger.machines()) {
+      const MachineType* type = ledger.type(machine.type);
+      if (type == nullptr || machine.returning || machine.silent || machine.taken_at ||
+          machine.suspect) {
+        continue;
+      }
+      if (!machine.heard && now - machine.rented_at > kBootPatience * type->boot_s) continue;
+      spaces_.push_back({type, machine.zone, machine.spot, machine.room(), &machine,
+                         !machine.tasks.empty()});
+    }
+    // What is in use is filled up first, so that what is idle shows; then the cheap.
+    std::stable_sort(spaces_.begin(), spaces_.end(), [](const Space& a, const Space& b) {
+      if (a.wanted != b.wanted) return a.wanted;
+      return hourly(*a.type, a.spot) < hourly(*b.type, b.spot);
+    });
+    for (const auto& [market, count] : pending) {
+      const MachineType* type = ledger.type(market.type);
+      for (int i = 0; type != nullptr && i < count; ++i) {
+        spaces_.push_back({type, market.zone, market.spot, capacity_of(*type)});
+      }
     }
-    if (!machine.heard && now - machine.rented_at > kBootPatience * type->boot_s) continue;
-    spaces.push_back({type, machine.zone, machine.spot, machine.room()});
   }
-  for (const auto& [market, count] : pending) {
-    const MachineType* type = ledger.type(market.type);
-    for (int i = 0; type != nullptr && i < count; ++i) {
-      spaces.push_back({type, market.zone, market.spot, capacity_of(*type)});
+
+  FleetPlan run() {
+    FleetPlan out;
+    for (Job* job : order_of_work(ledger_, now_)) {
+      cover(job->spec, job->waiting(), 0);
     }
+    for (const auto& [name, picture] : ledger_.classes()) {
+      const double wanted = room_wanted(ledger_, name, picture, now_);
+      double there = 0;
+      for (const auto& [id, job] : ledger_.jobs()) {
+        if (job->spec.job_class == name) there += job->waiting() + job->live.size();
+      }
+      if (wanted > there) {
+        cover(picture.latest, static_cast<std::uint32_t>(std::ceil(wanted - there)),
+              kForecastPrice);
+      }
+    }
+    for (const auto& [market, count] : rent_) {
+      if (count > 0) out.rent.push_back({market, count});
+    }
+    give_back(out);
+    return out;
   }
 
-  std::map<std::string, Resources> taken;
-  std::map<Market, int> wanted;
-  for (Job* job : order_of_work(ledger)) {
-    const JobSpec& spec = job->spec;
-    const TeamSettings* team = ledger.settings().team(spec.team);
-    if (team == nullptr) continue;
-    Resources used = ledger.used_by(spec.team);
-    used += taken[spec.team];
+ private:
+  // Finds room for `count` tasks, in what is there and then in what could be rented. With a price
+  // factor, only in markets that are at most so many times the cheapest for the task.
+  void cover(const JobSpec& spec, std::uint32_t count, double price_factor) {
+    const TeamSettings* team = ledger_.settings().team(spec.team);
+    if (team == nullptr) return;
+    Resources used = ledger_.used_by(spec.team);
+    used += taken_[spec.team];
     const Resources left{team->cpus_max - used.cpus, team->gpus_max - used.gpus, 1e12};
-    std::uint32_t count = std::min(job->waiting(), left.times({spec.cpus, spec.gpus, 0}));
+    count = std::min(count, left.times({spec.cpus, spec.gpus, 0}));
     const Resources need = needs_of(spec);
     const auto take = [&](Space& space) {
       const std::uint32_t fit = std::min(count, space.room.times(need));
       for (std::uint32_t i = 0; i < fit; ++i) {
         space.room -= need;
-        taken[spec.team] += need;
+        taken_[spec.team] += need;
       }
+      if (fit > 0) space.wanted = true;
       count -= fit;
     };
-    for (Space& space : spaces) {
-      if (count == 0) break;
+    for (Space& space : spaces_) {
+      if (count == 0) return;
       if (allows(spec, *space.type, space.zone, space.spot)) take(space);
     }
+    double cheapest = 0;
     while (count > 0) {
       // The market with the lowest price for each task that it takes.
       const MachineType* best = nullptr;
       Market market;
       double best_price = 0;
-      for (const auto& type : ledger.types()) {
+      for (const auto& type : ledger_.types()) {
+        const double price_part = std::min<double>(count, capacity_of(type).times(need));
         for (const auto& zone : type.zones) {
           for (const bool spot : {true, false}) {
             if (!allows(spec, type, zone, spot)) continue;
-            if (!refusals.open({type.name, zone, spot}, now)) continue;
-            if (wanted[{type.name, zone, spot}] >= protocol::kMostRented) continue;
-            const double fit =
-                std::min<double>(count, capacity_of(type).times(need));
-            const double price = hourly(type, spot) / fit;
+            const double price = hourly(type, spot) / price_part;
+            if (!spot && (cheapest == 0 || price < cheapest)) cheapest = price;
+            if (!refusals_.open({type.name, zone, spot}, now_)) continue;
+            if (rent_[{type.name, zone, spot}] >= protocol::kMostRented) continue;
             if (best == nullptr || price < best_price) {
               best = &type;
               best_price = price;
@@ -106,38 +156,69 @@
           }
         }
       }
-      if (best == nullptr) break;
-      ++wanted[market];
-      spaces.push_back({best, market.zone, market.spot, capacity_of(*best)});
-      take(spaces.back());
+      if (best == nullptr) return;
+      if (price_factor > 0 && best_price > price_factor * cheapest) return;
+      ++rent_[market];
+      spaces_.push_back({best, market.zone, market.spot, capacity_of(*best)});
+      take(spaces_.back());
     }
   }
-  for (const auto& [market, count] : wanted) {
-    if (count > 0) out.rent.push_back({market, count});
-  }
 
-  for (const auto& [name, machine] : ledger.machines()) {
-    const MachineType* type = ledger.type(machine.type);
-    if (type == nullptr || machine.returning) continue;
-    if (!machine.heard) {
-      if (machine.tasks.empty() && now - machine.rented_at > kBootPatience * type->boot_s) {
+  void give_back(FleetPlan& out) const {
+    std::set<std::string> wanted;
+    for (const Space& space : spaces_) {
+      if (space.machine != nullptr && space.wanted) wanted.insert(space.machine->name);
+    }
+    for (const auto& [name, machine] : ledger_.machines()) {
+      const MachineType* type = ledger_.type(machine.type);
+      if (type == nullptr || machine.returning) continue;
+      if (!machine.heard) {
+        if (machine.tasks.empty() && now_ - machine.rented_at > kBootPatience * type->boot_s) {
+          out.give_back.push_back(name);
+        }
+        continue;
+      }
+      // A machine whose lease has run out unanswered holds nothing any more; if it were only cut
+      // off it would have come back to another node by now.
+      if (machine.silent) {
+        out.give_back.push_back(name);
+        continue;
+      }
+      if (!machine.tasks.empty()) continue;
+      if (machine.suspect ||
+          (!wanted.contains(name) && now_ - machine.idle_since > kIdlePatience * type->boot_s &&
+           now_ - machine.rented_at > kShortestRental)) {
         out.give_back.push_back(name);
       }
-      continue;
-    }
-    // A machine whose lease has run out unanswered holds nothing any more; if it were only cut
-    // off it would have come back to another node by now.
-    if (machine.silent) {
-      out.give_back.push_back(name);
-      continue;
-    }
-    if (!machine.tasks.empty()) continue;
-    if (machine.suspect || (now - machine.idle_since > kIdlePatience * type->boot_s &&
-                            now - machine.rented_at > kShortestRental)) {
-      out.give_back.push_back(name);
     }
   }
-  return out;
+
+  Ledger& ledger_;
+  const Refusals& refusals_;
+  Seconds now_;
+  std::vector<Space> spaces_;
+  std::map<std::string, Resources> taken_;
+  std::map<Market, int> rent_;
+};
+
+}  // namespace
+
+void Refusals::refused(const Market& market, Seconds now, Seconds first_pause,
+                       Seconds longest_pause) {
+  Pause& pause = pauses_[market];
+  pause.length =
+      pause.length == 0 ? first_pause : std::min(pause.length * 2, longest_pause);
+  pause.until = now + pause.length;
+}
+
+bool Refusals::open(const Market& market, Seconds now) const {
+  const auto it = pauses_.find(market);
+  return it == pauses_.end() || now >= it->second.until;
+}
+
+FleetPlan plan_fleet(Ledger& ledger, const Refusals& refusals,
+                     const std::map<Market, int>& pending, Seconds now) {
+  return Round(ledger, refusals, pending, now).run();
 }
 
 }  // namespace larkroad::coordination
--- a/src/coordination/leader.cpp
+++ b/src/coordination/leader.cpp
@@ -57,6 +57,7 @@
   ready_ = false;
   begun_at_ = clock_.now();
   ledger_.clear();
+  ledger_.set_day_offset(clock_.unix_time() - clock_.now());
   holds_.clear();
   refusals_.clear();
   loaded_placements_.clear();
@@ -205,6 +206,7 @@
     const auto record = storage::decode_job(id, data);
     if (job == nullptr) {
       job = &ledger_.add_job(id, record, mark);
+      ledger_.learn_arrival(*job);
       spdlog::debug("job {}: {} of {} tasks, class {}, team {}", id,
                     record.spec.gang ? "gang" : "array", record.spec.tasks, record.spec.job_class,
                     record.spec.team);
@@ -622,6 +624,9 @@
   switch (task.cause) {
     case ExitCause::done:
       machine.failures = 0;
+      if (const auto& p = job.live.at(task.id.task); p.running_since >= 0) {
+        ledger_.learn_run(job.spec, now - p.running_since);
+      }
       ledger_.finish(job, task.id.task, now);
       sync(job);
       request_plan();
--- a/src/coordination/ledger.cpp
+++ b/src/coordination/ledger.cpp
@@ -8,6 +8,11 @@
 
 // Amounts are decimals: sums of them are compared with this much leeway.
 constexpr double kRounding = 1e-6;
+// How much of a class's picture the latest task makes up.
+constexpr double kLearning = 0.1;
+// Arrivals are counted over this many times what a cancellation may take: long against the tasks
+// of today's deployments, short against the day.
+constexpr double kMemoryRatio = 4;
 
 }  // namespace
 
@@ -98,6 +103,7 @@
   job->spec = record.spec;
   job->mark = mark;
   job->submitted_at = record.submitted_at;
+  job->submitted = record.submitted_at - day_offset_;
   job->chunk_tasks = record.chunk_tasks;
   job->cancelled = record.cancelled;
   job->done.assign(record.spec.tasks, false);
@@ -268,6 +274,41 @@
   return quota_room(spec) >= more;
 }
 
+Seconds Ledger::expected_run(const JobSpec& spec) const {
+  const auto it = classes_.find(spec.job_class);
+  return spec.estimate_s * (it == classes_.end() ? 1 : it->second.run_ratio);
+}
+
+void Ledger::learn_run(const JobSpec& spec, Seconds took) {
+  ClassPicture& picture = classes_[spec.job_class];
+  picture.mean_run =
+      picture.mean_run == 0 ? took : picture.mean_run + (took - picture.mean_run) * kLearning;
+  if (spec.estimate_s <= 0) return;
+  // A task that went on from a checkpoint, or a wild estimate, must not turn the class.
+  const double ratio = std::clamp(took / spec.estimate_s, 0.25, 4.0);
+  picture.run_ratio += (ratio - picture.run_ratio) * kLearning;
+}
+
+Seconds Ledger::memory_s() const { return settings_.cancel_s * kMemoryRatio; }
+
+void Ledger::learn_arrival(const Job& job) {
+  ClassPicture& picture = classes_[job.spec.job_class];
+  // Jobs come in any order when they are read back; an older one counts by its age.
+  const Seconds to = std::max(picture.counted_at, job.submitted);
+  const double fade = std::exp(-(to - picture.counted_at) / memory_s());
+  const double weight = std::exp(-(to - job.submitted) / memory_s());
+  const double size = job.spec.tasks;
+  picture.tasks = picture.tasks * fade + size * weight;
+  picture.squares = picture.squares * fade + size * size * weight;
+  if (job.submitted >= picture.counted_at) picture.latest = job.spec;
+  picture.counted_at = to;
+}
+
+double Ledger::arrival_rate(const ClassPicture& picture, Seconds now) const {
+  const Seconds age = std::max(0.0, now - picture.counted_at);
+  return picture.tasks * std::exp(-age / memory_s()) / memory_s();
+}
+
 void Ledger::set_types(std::vector<MachineType> types) {
   types_ = std::move(types);
   for (auto& [name, machine] : machines_) {
--- a/src/coordination/ledger.hpp
+++ b/src/coordination/ledger.hpp
@@ -71,6 +71,7 @@
   JobSpec spec;
   std::uint64_t mark = 0;
   double submitted_at = 0;  // time of day
+  Seconds submitted = 0;    // the same, by the steady clock
   std::uint32_t chunk_tasks = 1;
   bool cancelled = false;
 
@@ -139,10 +140,22 @@
   void touch_image(const std::string& image, double gb, double cache_gb, Seconds now);
 };
 
+// What the jobs of a class have been like, with the latest counting most.
+struct ClassPicture {
+  JobSpec latest;
+  double tasks = 0;       // arrived, each weighted down with its age
+  double squares = 0;     // the same of the squared sizes of the jobs, for their spread
+  Seconds counted_at = 0;  // the time to which both are weighted
+  double run_ratio = 1;   // run time over the owners' estimates
+  Seconds mean_run = 0;   // of a task; 0: not known yet
+};
+
 class Ledger {
  public:
   explicit Ledger(const Settings& settings) : settings_(settings) {}
   void clear();
+  // Time of day less steady time, by which times of day become steady ones.
+  void set_day_offset(double offset) { day_offset_ = offset; }
 
   // Jobs.
   Job& add_job(const std::string& id, const storage::JobRecord& record, std::uint64_t mark);
@@ -181,12 +194,25 @@
   const std::vector<MachineType>& types() const { return types_; }
   const MachineType* type(const std::string& name) const;
 
+  // How long a task of the job is expected to run: its owner's estimate, corrected by what the
+  // tasks of its class have shown.
+  Seconds expected_run(const JobSpec& spec) const;
+  void learn_run(const JobSpec& spec, Seconds took);
+  void learn_arrival(const Job& job);
+  const std::map<std::string, ClassPicture>& classes() const { return classes_; }
+  // Tasks of the class that arrive in a second.
+  double arrival_rate(const ClassPicture& picture, Seconds now) const;
+  // The time over which arrivals are counted.
+  Seconds memory_s() const;
+
   const Settings& settings() const { return settings_; }
 
  private:
   void release(Job& job, std::uint32_t task, Seconds now);
 
   const Settings& settings_;
+  double day_offset_ = 0;
+  std::map<std::string, ClassPicture> classes_;
   std::unordered_map<std::string, std::unique_ptr<Job>> jobs_;
   std::map<std::string, Machine> machines_;
   std::map<std::string, Resources> used_;  // by team
--- a/src/coordination/planner.cpp
+++ b/src/coordination/planner.cpp
@@ -52,7 +52,7 @@
 
   Plan run() {
     Plan out;
-    const auto jobs = order_of_work(ledger_);
+    const auto jobs = order_of_work(ledger_, now_);
     for (size_t i = limits_.start_at; i < jobs.size(); ++i) {
       if (i > limits_.start_at && limits_.out_of_time()) {
         out.stopped_at = i;
@@ -240,45 +240,6 @@
   return out;
 }
 
-std::set<std::string> within_guarantee(const Ledger& ledger) {
-  std::map<std::string, std::vector<const Job*>> by_team;
-  for (const auto& [id, job] : ledger.jobs()) {
-    if (!job->over()) by_team[job->spec.team].push_back(job.get());
-  }
-  std::set<std::string> out;
-  for (auto& [name, jobs] : by_team) {
-    const TeamSettings* team = ledger.settings().team(name);
-    if (team == nullptr) continue;
-    std::sort(jobs.begin(), jobs.end(), [](const Job* a, const Job* b) {
-      return std::tie(a->submitted_at, a->id()) < std::tie(b->submitted_at, b->id());
-    });
-    Resources sum;
-    const Resources guarantee{team->cpus, team->gpus, 1e12};
-    for (const Job* job : jobs) {
-      sum.cpus += job->spec.cpus * job->spec.tasks;
-      sum.gpus += job->spec.gpus * job->spec.tasks;
-      if (guarantee.fits(sum)) out.insert(job->id());
-    }
-  }
-  return out;
-}
-
-std::vector<Job*> order_of_work(Ledger& ledger) {
-  const auto guaranteed = within_guarantee(ledger);
-  std::vector<std::pair<bool, Job*>> jobs;
-  for (const auto& [id, job] : ledger.jobs()) {
-    if (job->waiting() > 0) jobs.emplace_back(!guaranteed.contains(id), job.get());
-  }
-  std::sort(jobs.begin(), jobs.end(), [](const auto& a, const auto& b) {
-    return std::tie(a.second->spec.priority, a.first, a.second->submitted_at, a.second->id()) <
-           std::tie(b.second->spec.priority, b.first, b.second->submitted_at, b.second->id());
-  });
-  std::vector<Job*> out;
-  out.reserve(jobs.size());
-  for (const auto& [beyond, job] : jobs) out.push_back(job);
-  return out;
-}
-
 Plan plan(Ledger& ledger, Holds& holds, Seconds now, const PlanLimits& limits) {
   for (const auto& id : holds.expire(now)) {
     // An expired gang queues again and reserves anew after the others have had their turn.
--- a/src/coordination/planner.hpp
+++ b/src/coordination/planner.hpp
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "coordination/ledger.hpp"
+#include "coordination/triage.hpp"
 
 namespace larkroad::coordination {
 
@@ -41,13 +42,6 @@
   std::vector<std::pair<std::uint32_t, std::string>> tasks;  // task and machine
 };
 
-// The jobs that want places, most important first.
-std::vector<Job*> order_of_work(Ledger& ledger);
-
-// The ids of the jobs that lie within their team's guarantee together with the team's earlier
-// jobs that are not over.
-std::set<std::string> within_guarantee(const Ledger& ledger);
-
 struct PlanLimits {
   Seconds hold_s = 20;
   std::function<bool()> out_of_time = [] { return false; };
--- /dev/null
+++ b/src/coordination/triage.hpp
@@ -0,0 +1,24 @@
+// The order of work: which waiting job is served next, and which can no longer be served in time.
+#pragma once
+
+#include <set>
+#include <string>
+#include <vector>
+
+#include "coordination/ledger.hpp"
+
+namespace larkroad::coordination {
+
+// The times by which the aims in the settings want the job done, earliest first: a wait within
+// some time counts as done within it and the expected run.
+std::vector<Seconds> due_times(const Ledger& ledger, const Job& job);
+
+// The ids of the jobs that lie within their team's guarantee together with the team's earlier
+// jobs that are not over.
+std::set<std::string> within_guarantee(const Ledger& ledger);
+
+// The jobs that want places, most important first: by priority; within the team's guarantee before
+// beyond it; then those that can still be done in time before those that cannot.
+std::vector<Job*> order_of_work(Ledger& ledger, Seconds now);
+
+}  // namespace larkroad::coordination
--- a/tests/support.hpp
+++ b/tests/support.hpp
@@ -89,7 +89,7 @@
 inline protocol::JobSpec spec(const std::string& id, std::uint32_t tasks = 1, double cpus = 2) {
   protocol::JobSpec s;
   s.id = id;
-  s.job_class = "short";
+  s.job_class = "plain";
   s.team = "red";
   s.tasks = tasks;
   s.cpus = cpus;
