Keep room for urgent classes, preempt lower work, queue inherited placements anew

Cause of late urgent starts: no room or no part of the team's limit left by proofs (70 s waits), and the fleet rented only for what already waited. Now what may come of a class with a wait aim is forecast from its arrivals; the fleet rents for it, lower work leaves it room and limit, and lower work is stopped where that is not enough.

--- a/src/coordination/fleet.cpp
+++ b/src/coordination/fleet.cpp
@@ -3,7 +3,8 @@
 #include <algorithm>
 #include <cmath>
 
-#include "coordination/planner.hpp"
+#include "coordination/forecast.hpp"
+#include "coordination/triage.hpp"
 
 namespace larkroad::coordination {
 namespace {
@@ -14,8 +15,6 @@
 constexpr Seconds kShortestRental = 60;
 // An idle machine is kept for this many times what it takes to boot another.
 constexpr double kIdlePatience = 1;
-// Room for what may come is rented only in markets this many times the cheapest, at most.
-constexpr double kForecastPrice = 3;
 
 struct Space {
   const MachineType* type;
@@ -28,35 +27,6 @@
 
 double hourly(const MachineType& type, bool spot) { return spot ? type.spot_price : type.price; }
 
-// How many tasks of a class are to find room at once, so that the aims that leave no time to boot
-// a machine are met as often as they ask: what is there on average, and a margin for chance.
-double room_wanted(const Ledger& ledger, const std::string& name, const ClassPicture& picture,
-                   Seconds now) {
-  const JobSpec& spec = picture.latest;
-  Seconds soonest = -1;
-  for (const auto& type : ledger.types()) {
-    if (!capacity_of(type).fits(needs_of(spec))) continue;
-    if (spec.types && std::find(spec.types->begin(), spec.types->end(), type.name) ==
-                          spec.types->end()) {
-      continue;
-    }
-    const Seconds fetch = type.fetch_gb_per_s > 0 ? spec.image_gb / type.fetch_gb_per_s : 0;
-    if (soonest < 0 || type.boot_s + fetch < soonest) soonest = type.boot_s + fetch;
-  }
-  double share = 0;
-  for (const auto& aim : ledger.settings().objectives) {
-    if (aim.kind != "wait" || aim.job_class != name || aim.within_s >= soonest) continue;
-    share = std::max(share, aim.share);
-  }
-  if (share <= 0) return 0;
-  const Seconds run = picture.mean_run > 0 ? picture.mean_run : ledger.expected_run(spec);
-  const double mean = ledger.arrival_rate(picture, now) * run;
-  // Jobs of many tasks come in lumps, which spreads the number that is there.
-  const double lump = picture.tasks > 0 ? picture.squares / picture.tasks : 1;
-  const double miss = std::max(1e-3, 1 - share);
-  return mean + std::sqrt(2 * std::log(1 / miss) * mean * lump);
-}
-
 class Round {
  public:
   Round(Ledger& ledger, const Refusals& refusals, const std::map<Market, int>& pending,
@@ -89,18 +59,10 @@
   FleetPlan run() {
     FleetPlan out;
     for (Job* job : order_of_work(ledger_, now_)) {
-      cover(job->spec, job->waiting(), 0);
+      cover(job->spec, job->waiting());
     }
-    for (const auto& [name, picture] : ledger_.classes()) {
-      const double wanted = room_wanted(ledger_, name, picture, now_);
-      double there = 0;
-      for (const auto& [id, job] : ledger_.jobs()) {
-        if (job->spec.job_class == name) there += job->waiting() + job->live.size();
-      }
-      if (wanted > there) {
-        cover(picture.latest, static_cast<std::uint32_t>(std::ceil(wanted - there)),
-              kForecastPrice);
-      }
+    for (const auto& f : forecast(ledger_, now_)) {
+      cover(*f.spec, static_cast<std::uint32_t>(std::ceil(f.missing())));
     }
     for (const auto& [market, count] : rent_) {
       if (count > 0) out.rent.push_back({market, count});
@@ -110,9 +72,8 @@
   }
 
  private:
-  // Finds room for `count` tasks, in what is there and then in what could be rented. With a price
-  // factor, only in markets that are at most so many times the cheapest for the task.
-  void cover(const JobSpec& spec, std::uint32_t count, double price_factor) {
+  // Finds room for `count` tasks, in what is there and then in what could be rented.
+  void cover(const JobSpec& spec, std::uint32_t count) {
     const TeamSettings* team = ledger_.settings().team(spec.team);
     if (team == nullptr) return;
     Resources used = ledger_.used_by(spec.team);
@@ -133,7 +94,6 @@
       if (count == 0) return;
       if (allows(spec, *space.type, space.zone, space.spot)) take(space);
     }
-    double cheapest = 0;
     while (count > 0) {
       // The market with the lowest price for each task that it takes.
       const MachineType* best = nullptr;
@@ -145,7 +105,6 @@
           for (const bool spot : {true, false}) {
             if (!allows(spec, type, zone, spot)) continue;
             const double price = hourly(type, spot) / price_part;
-            if (!spot && (cheapest == 0 || price < cheapest)) cheapest = price;
             if (!refusals_.open({type.name, zone, spot}, now_)) continue;
             if (rent_[{type.name, zone, spot}] >= protocol::kMostRented) continue;
             if (best == nullptr || price < best_price) {
@@ -157,7 +116,6 @@
         }
       }
       if (best == nullptr) return;
-      if (price_factor > 0 && best_price > price_factor * cheapest) return;
       ++rent_[market];
       spaces_.push_back({best, market.zone, market.spot, capacity_of(*best)});
       take(spaces_.back());
--- /dev/null
+++ b/src/coordination/forecast.cpp
@@ -0,0 +1,63 @@
+#include "coordination/forecast.hpp"
+
+#include <algorithm>
+#include <cmath>
+
+namespace larkroad::coordination {
+namespace {
+
+// The soonest that a machine rented now could run a task.
+Seconds soonest_start(const Ledger& ledger, const JobSpec& spec) {
+  Seconds soonest = -1;
+  for (const auto& type : ledger.types()) {
+    if (type.zones.empty() || !allows(spec, type, spec.zone.value_or(type.zones.front()), false)) {
+      continue;
+    }
+    const Seconds fetch = type.fetch_gb_per_s > 0 ? spec.image_gb / type.fetch_gb_per_s : 0;
+    if (soonest < 0 || type.boot_s + fetch < soonest) soonest = type.boot_s + fetch;
+  }
+  return soonest;
+}
+
+// The number that a Poisson-like count with this mean and spread exceeds with chance `miss`.
+double quantile(double mean, double variance, double miss) {
+  // An upper bound of the normal quantile: generous, and without a table.
+  return mean + std::sqrt(2 * std::log(1 / std::max(miss, 1e-3)) * variance);
+}
+
+}  // namespace
+
+std::vector<Forecast> forecast(const Ledger& ledger, Seconds now) {
+  std::vector<Forecast> out;
+  for (const auto& [name, picture] : ledger.classes()) {
+    const JobSpec& spec = picture.latest;
+    double share = 0;
+    const Seconds soonest = soonest_start(ledger, spec);
+    for (const auto& aim : ledger.settings().objectives) {
+      if (aim.kind != "wait" || aim.job_class != name || aim.within_s >= soonest) continue;
+      share = std::max(share, aim.share);
+    }
+    if (share <= 0 || picture.tasks <= 0) continue;
+    Forecast f;
+    f.spec = &spec;
+    const Seconds run = picture.mean_run > 0 ? picture.mean_run : ledger.expected_run(spec);
+    const double mean = ledger.arrival_rate(picture, now) * run;
+    // Jobs of many tasks come in lumps, which spreads the number that is there.
+    const double lump = picture.squares / picture.tasks;
+    f.wanted = quantile(mean, mean * lump, 1 - share);
+    for (const auto& [team, tasks] : picture.by_team) {
+      const double part = mean * tasks / picture.tasks;
+      f.wanted_by_team[team] = quantile(part, part * lump, 1 - share);
+    }
+    for (const auto& [id, job] : ledger.jobs()) {
+      if (job->spec.job_class != name) continue;
+      const double there = job->waiting() + static_cast<double>(job->live.size());
+      f.present += there;
+      f.present_by_team[job->spec.team] += there;
+    }
+    out.push_back(std::move(f));
+  }
+  return out;
+}
+
+}  // namespace larkroad::coordination
--- a/src/coordination/leader.cpp
+++ b/src/coordination/leader.cpp
@@ -597,6 +597,7 @@
                                                      : "saving");
   }
   placement->stage = Placement::Stage::held;
+  placement->inherited = false;
   placement->state = task.state;
   if (has_image) {
     const MachineType* type = ledger_.type(machine.type);
@@ -674,6 +675,13 @@
     gone(job, placement.task, "not on its machine");
     return;
   }
+  if (placement.inherited) {
+    // Not to be launched again as it stands: its room and its part of the team's limit may have
+    // gone to others since. Once the worker has seen this leader's token nothing of an earlier
+    // one can start it any more, and it queues like any other task.
+    if (!in_doubt) gone(job, placement.task, "not on its machine");
+    return;
+  }
   if (in_doubt && doubt->second.pending) return;
   // To be repeated in the answer to a report only: that is never carried out late.
   placement.stage = Placement::Stage::launched;
@@ -692,6 +700,9 @@
          {{Op::kill, {job.id(), placement.task}, placement.attempt, grace_s}});
 }
 
+// Long enough to save, with a report's worth to spare for a slow machine.
+double Leader::grace(const Job& job) const { return job.spec.save_s + settings_.report_s; }
+
 void Leader::launch(Job& job, const std::vector<std::uint32_t>& tasks) {
   std::map<std::string, Commands> by_machine;
   for (const auto task : tasks) {
@@ -790,10 +801,10 @@
     if (job->spec.gang && job->spec.tasks > 1) {
       // An orderly stop: all members, with the same grace, in one round.
       for (auto& [task, placement] : job->live) {
-        if (placement.stage == Placement::Stage::held) stop(*job, placement, job->spec.save_s + 1);
+        if (placement.stage == Placement::Stage::held) stop(*job, placement, grace(*job));
       }
     } else if (job->spec.checkpoint_s > 0 || it->second.state != TaskState::running) {
-      stop(*job, it->second, job->spec.save_s + 1);
+      stop(*job, it->second, grace(*job));
     }
   }
 }
@@ -889,6 +900,14 @@
                   assignment.tasks.front().second);
     sync(*job);
   }
+  for (const auto& victim : decided.preemptions) {
+    Job* job = ledger_.job(victim.job);
+    if (job == nullptr) continue;
+    const auto it = job->live.find(victim.task);
+    if (it == job->live.end() || it->second.stage != Placement::Stage::held) continue;
+    spdlog::info("task {}/{} gives way to {}", victim.job, victim.task, victim.for_job);
+    stop(*job, it->second, job->spec.checkpoint_s > 0 ? grace(*job) : 0);
+  }
   if (plan_from_ != 0) request_plan();
 }
 
--- a/src/coordination/leader.hpp
+++ b/src/coordination/leader.hpp
@@ -70,6 +70,7 @@
   void process_task(Machine& machine, const protocol::TaskReport& task, Commands& commands);
   void exited(Machine& machine, Job& job, const protocol::TaskReport& task);
   void absent(Machine& machine, Job& job, Placement& placement, Commands& commands);
+  double grace(const Job& job) const;
   void stop(Job& job, Placement& placement, double grace_s);
   void break_gang(Job& job, const std::string& why);
   void direct(const std::string& machine, Commands commands);
--- a/src/coordination/ledger.cpp
+++ b/src/coordination/ledger.cpp
@@ -145,6 +145,7 @@
     Placement& p = place(job, placed.task, m, placed.attempt, now);
     p.session = placed.session;
     p.stage = Placement::Stage::recorded;
+    p.inherited = true;
     if (job.spec.gang) job.gang_attempt = std::max(job.gang_attempt, placed.attempt);
   }
   // Chunks are written as they are needed, so every task up to this one may have been placed.
@@ -300,6 +301,8 @@
   const double size = job.spec.tasks;
   picture.tasks = picture.tasks * fade + size * weight;
   picture.squares = picture.squares * fade + size * size * weight;
+  for (auto& [team, tasks] : picture.by_team) tasks *= fade;
+  picture.by_team[job.spec.team] += size * weight;
   if (job.submitted >= picture.counted_at) picture.latest = job.spec;
   picture.counted_at = to;
 }
--- a/src/coordination/ledger.hpp
+++ b/src/coordination/ledger.hpp
@@ -54,6 +54,9 @@
   std::uint64_t session = 0;
   Stage stage = Stage::recording;
   TaskState state = TaskState::fetching;  // when held
+  // Found in the records of an earlier leader, and not heard of since. It may be long over: that
+  // leader then used its room and its part of the limits for others.
+  bool inherited = false;
   bool stopping = false;
   double grace_s = 0;
   Seconds stop_sent = -1;
@@ -145,7 +148,8 @@
   JobSpec latest;
   double tasks = 0;       // arrived, each weighted down with its age
   double squares = 0;     // the same of the squared sizes of the jobs, for their spread
-  Seconds counted_at = 0;  // the time to which both are weighted
+  std::map<std::string, double> by_team;  // the same of the tasks of each team
+  Seconds counted_at = 0;                 // the time to which all three are weighted
   double run_ratio = 1;   // run time over the owners' estimates
   Seconds mean_run = 0;   // of a task; 0: not known yet
 };
--- a/src/coordination/planner.cpp
+++ b/src/coordination/planner.cpp
@@ -4,15 +4,30 @@
 #include <cmath>
 #include <tuple>
 
+#include "coordination/forecast.hpp"
+
 namespace larkroad::coordination {
 namespace {
 
+// The part of all room for a class that may be kept for what may come of it.
+constexpr double kReserveMost = 0.5;
+// What it costs to take room from a more important class, in reports.
+constexpr double kDisplacedReports = 1;
+
 // A machine with its room in this round, less what others hold.
 struct Slot {
   Machine* machine;
   Resources room;
 };
 
+// Room kept for what may come of a more important class.
+struct Reserve {
+  const JobSpec* spec;
+  double missing;  // tasks that are to find room
+  double fits;     // tasks that find room at present
+  std::map<std::string, double> missing_by_team;
+};
+
 // What placing a task here costs, in seconds of somebody's time.
 double cost(const Job& job, const Slot& slot, const Ledger& ledger) {
   const MachineType* type = ledger.type(slot.machine->type);
@@ -48,6 +63,22 @@
       }
       slots_.push_back({&machine, room});
     }
+    for (const auto& f : forecast(ledger_, now_)) {
+      Reserve reserve{f.spec, f.missing(), 0, {}};
+      double most = 0;
+      for (const Slot& slot : slots_) {
+        reserve.fits += fits(*f.spec, slot, slot.room);
+        most += fits(*f.spec, slot, slot.machine->capacity);
+      }
+      // However much may come, the less important work keeps its part of the machines.
+      reserve.missing = std::min(reserve.missing, most * kReserveMost);
+      for (const auto& [team, wanted] : f.wanted_by_team) {
+        const auto there = f.present_by_team.find(team);
+        reserve.missing_by_team[team] =
+            std::max(0.0, wanted - (there == f.present_by_team.end() ? 0 : there->second));
+      }
+      reserves_.push_back(std::move(reserve));
+    }
   }
 
   Plan run() {
@@ -76,6 +107,7 @@
       for (size_t i = 0; i < assignment.tasks.size(); ++i) taken += needs_of(job->spec);
       out.assignments.push_back(std::move(assignment));
     }
+    preempt(jobs, out);
     return out;
   }
 
@@ -88,10 +120,166 @@
     Resources used = ledger_.used_by(job.spec.team);
     const auto it = taken_.find(job.spec.team);
     if (it != taken_.end()) used += it->second;
+    // What may come of the team's more important work keeps its part of the limit.
+    for (const Reserve& reserve : reserves_) {
+      if (reserve.spec->priority >= job.spec.priority) continue;
+      const auto missing = reserve.missing_by_team.find(job.spec.team);
+      if (missing == reserve.missing_by_team.end()) continue;
+      used.cpus += missing->second * reserve.spec->cpus;
+      used.gpus += missing->second * reserve.spec->gpus;
+    }
     const Resources left{team->cpus_max - used.cpus, team->gpus_max - used.gpus, 1e12};
     return left.times({job.spec.cpus, job.spec.gpus, 0});
   }
 
+  // How many tasks of this kind the room of a slot's machine takes.
+  double fits(const JobSpec& spec, const Slot& slot, const Resources& room) const {
+    const MachineType* type = ledger_.type(slot.machine->type);
+    if (type == nullptr || !allows(spec, *type, slot.machine->zone, slot.machine->spot)) return 0;
+    return room.times(needs_of(spec));
+  }
+
+  // How much room for more important classes a task of this job would take on this slot; negative
+  // when what is left would be less than what may come.
+  double displaced(const Job& job, const Slot& slot) const {
+    double out = 0;
+    for (const Reserve& reserve : reserves_) {
+      if (reserve.spec->priority >= job.spec.priority) continue;
+      Resources rest = slot.room;
+      rest -= needs_of(job.spec);
+      const double loss = fits(*reserve.spec, slot, slot.room) - fits(*reserve.spec, slot, rest);
+      if (loss > 0 && reserve.fits - loss < reserve.missing) return -1;
+      out += loss;
+    }
+    return out;
+  }
+
+  void take(const Job& job, Slot& slot) {
+    for (Reserve& reserve : reserves_) {
+      const double before = fits(*reserve.spec, slot, slot.room);
+      Resources rest = slot.room;
+      rest -= needs_of(job.spec);
+      reserve.fits -= before - fits(*reserve.spec, slot, rest);
+    }
+    slot.room -= needs_of(job.spec);
+  }
+
+  // Stops less important tasks where that makes room for a job that found none. What is being
+  // stopped already counts as room to come, so that nothing is stopped twice for one need.
+  void preempt(const std::vector<Job*>& jobs, Plan& out) {
+    std::set<std::string> served;
+    for (const auto& assignment : out.assignments) served.insert(assignment.job);
+    std::vector<Slot> coming;
+    bool computed = false;
+    for (Job* job : jobs) {
+      if (served.contains(job->id()) || job->busy || now_ < job->retry_at) continue;
+      if (job->spec.priority >= protocol::Priority::normal) break;  // the order is by priority
+      if (limits_.out_of_time()) return;
+      if (job->spec.gang && job->waiting() > 1) continue;
+      if (!computed) {
+        computed = true;
+        coming = slots_;
+        for (Slot& slot : coming) {
+          for (const auto& id : slot.machine->tasks) {
+            const Job* other = ledger_.job(id.job);
+            if (other != nullptr && other->live.at(id.task).stopping) {
+              slot.room += needs_of(other->spec);
+            }
+          }
+        }
+      }
+      preempt_for(*job, coming, out);
+    }
+  }
+
+  void preempt_for(const Job& job, std::vector<Slot>& coming, Plan& out) {
+    const TeamSettings* team = ledger_.settings().team(job.spec.team);
+    if (team == nullptr) return;
+    // Whether the team's limit is in the way, once what is being stopped is gone.
+    Resources used = ledger_.used_by(job.spec.team);
+    used += taken_[job.spec.team];
+    used += claimed_[job.spec.team];
+    for (const auto& [id, other] : ledger_.jobs()) {
+      if (other->spec.team != job.spec.team) continue;
+      for (const auto& [task, placement] : other->live) {
+        if (placement.stopping) used -= needs_of(other->spec);
+      }
+    }
+    const Resources need = needs_of(job.spec);
+    const Resources left{team->cpus_max - used.cpus, team->gpus_max - used.gpus, 1e12};
+    const bool over_limit = !left.fits({need.cpus, need.gpus, 0});
+    Slot* best = nullptr;
+    std::vector<Preemption> best_victims;
+    double best_loss = 0;
+    for (Slot& slot : coming) {
+      const MachineType* type = ledger_.type(slot.machine->type);
+      if (type == nullptr || !allows(job.spec, *type, slot.machine->zone, slot.machine->spot)) {
+        continue;
+      }
+      std::vector<Preemption> victims;
+      double loss = 0;
+      if (!gather(job, slot, left, over_limit, victims, loss)) continue;
+      if (best == nullptr || loss < best_loss) {
+        best = &slot;
+        best_loss = loss;
+        best_victims = std::move(victims);
+      }
+    }
+    if (best == nullptr) return;
+    for (const auto& victim : best_victims) {
+      stopped_.insert({victim.job, victim.task});
+      const Job& other = *ledger_.job(victim.job);
+      best->room += needs_of(other.spec);
+      if (other.spec.team == job.spec.team) {
+        claimed_[job.spec.team] -= needs_of(other.spec);
+      }
+    }
+    best->room -= need;
+    claimed_[job.spec.team] += need;
+    out.preemptions.insert(out.preemptions.end(), best_victims.begin(), best_victims.end());
+  }
+
+  // The cheapest tasks of a machine that, once stopped, make room for a task of the job. False when
+  // there are none such; true without victims when there will be room anyway.
+  bool gather(const Job& job, const Slot& slot, const Resources& left, bool over_limit,
+              std::vector<Preemption>& victims, double& loss) const {
+    struct Victim {
+      const Job* job;
+      const Placement* placement;
+      double loss;
+    };
+    std::vector<Victim> able;
+    for (const auto& id : slot.machine->tasks) {
+      const Job* other = ledger_.job(id.job);
+      if (other == nullptr || other->spec.priority <= job.spec.priority) continue;
+      if (other->spec.gang && other->spec.tasks > 1) continue;
+      const Placement& p = other->live.at(id.task);
+      if (p.stopping || p.stage != Placement::Stage::held || stopped_.contains(id)) continue;
+      if (p.state == TaskState::saving) continue;
+      if (over_limit && other->spec.team != job.spec.team) continue;
+      // What is lost: the time to save, or all that was done if it never saves.
+      const Seconds ran = p.running_since < 0 ? 0 : now_ - p.running_since;
+      able.push_back({other, &p, other->spec.checkpoint_s > 0 ? other->spec.save_s : ran});
+    }
+    std::sort(able.begin(), able.end(), [](const Victim& a, const Victim& b) {
+      return std::make_tuple(-static_cast<int>(a.job->spec.priority), a.loss, a.job->id(),
+                             a.placement->task) <
+             std::make_tuple(-static_cast<int>(b.job->spec.priority), b.loss, b.job->id(),
+                             b.placement->task);
+    });
+    const Resources need = needs_of(job.spec);
+    Resources room = slot.room;
+    Resources quota = left;
+    for (const Victim& v : able) {
+      if (room.fits(need) && quota.fits({need.cpus, need.gpus, 0})) break;
+      room += needs_of(v.job->spec);
+      if (v.job->spec.team == job.spec.team) quota += needs_of(v.job->spec);
+      loss += v.loss;
+      victims.push_back({v.job->id(), v.placement->task, job.id()});
+    }
+    return room.fits(need) && quota.fits({need.cpus, need.gpus, 0});
+  }
+
   bool allowed(const Job& job, const Slot& slot) const {
     const MachineType* type = ledger_.type(slot.machine->type);
     return type != nullptr &&
@@ -127,6 +315,11 @@
     return best;
   }
 
+  // Spot machines first: what may not use them has only the others.
+  double kind_cost(const Job& job, const Slot& slot) const {
+    return job.spec.spot && !slot.machine->spot ? ledger_.settings().report_s : 0;
+  }
+
   Choice choose_in(const Job& job, const std::vector<std::uint32_t>& tasks,
                    const std::string& zone, std::map<std::string, std::uint32_t> in_zone) {
     Choice out;
@@ -138,14 +331,17 @@
         if (!zone.empty() && slot.machine->zone != zone) continue;
         if (job.spec.spread && in_zone[slot.machine->zone] >= zone_most) continue;
         if (!allowed(job, slot)) continue;
-        const double c = cost(job, slot, ledger_);
+        const double lost = displaced(job, slot);
+        if (lost < 0) continue;
+        const double c =
+            cost(job, slot, ledger_) + kind_cost(job, slot) + lost * ledger_.settings().report_s * kDisplacedReports;
         if (best == nullptr || c < best_cost) {
           best = &slot;
           best_cost = c;
         }
       }
       if (best == nullptr) break;
-      best->room -= needs_of(job.spec);
+      take(job, *best);
       ++in_zone[best->machine->zone];
       out.emplace_back(best, task);
     }
@@ -153,7 +349,14 @@
   }
 
   void give_back(const Job& job, const Choice& choice) {
-    for (const auto& [slot, task] : choice) slot->room += needs_of(job.spec);
+    for (const auto& [slot, task] : choice) {
+      Resources more = slot->room;
+      more += needs_of(job.spec);
+      for (Reserve& reserve : reserves_) {
+        reserve.fits += fits(*reserve.spec, *slot, more) - fits(*reserve.spec, *slot, slot->room);
+      }
+      slot->room = more;
+    }
   }
 
   void place_gang(Job& job, std::uint32_t quota, Assignment& out) {
@@ -192,7 +395,10 @@
   Seconds now_;
   const PlanLimits& limits_;
   std::vector<Slot> slots_;
+  std::vector<Reserve> reserves_;
   std::map<std::string, Resources> taken_;
+  std::map<std::string, Resources> claimed_;  // by those for whom others are being stopped
+  std::set<TaskId> stopped_;
   bool holder_ = false;
 };
 
--- a/src/coordination/planner.hpp
+++ b/src/coordination/planner.hpp
@@ -48,8 +48,16 @@
   size_t start_at = 0;  // where in the order of work the last round stopped
 };
 
+// A task to be stopped, so that more important work gets its room.
+struct Preemption {
+  std::string job;
+  std::uint32_t task = 0;
+  std::string for_job;
+};
+
 struct Plan {
   std::vector<Assignment> assignments;
+  std::vector<Preemption> preemptions;
   size_t stopped_at = 0;  // not 0: time ran out, and the next round goes on from here
 };
 
