--- a/src/coordination/leader.cpp
+++ b/src/coordination/leader.cpp
@@ -375,10 +375,11 @@
   storage::Transaction txn;
   txn.guards.push_back({storage::kLeaderKey, election_.token()});
   txn.guards.push_back({storage::job_key(job.id()), job.mark});
-  txn.writes.push_back({storage::finished_key(job.id()),
-                        storage::encode(storage::FinishedRecord{
-                            job.done_count < job.spec.tasks, job.spec.tasks}),
-                        std::nullopt});
+  // A cancelled job stays cancelled, even if its last task was done before it could be stopped:
+  // its user has been told.
+  txn.writes.push_back(
+      {storage::finished_key(job.id()),
+       storage::encode(storage::FinishedRecord{job.cancelled, job.spec.tasks}), std::nullopt});
   txn.drops.push_back(storage::job_key(job.id()));
   std::vector<std::string> rest;
   for (const auto& [number, chunk] : job.chunks) {
@@ -397,7 +398,7 @@
         Job* job = ledger_.job(id);
         if (job == nullptr) return;
         if (reply.status == Status::ok) {
-          spdlog::info("job {} is {}", id, job->done_count < job->spec.tasks ? "cancelled" : "done");
+          spdlog::info("job {} is {}", id, job->cancelled ? "cancelled" : "done");
           garbage_.insert(garbage_.end(), rest.begin(), rest.end());
           ledger_.remove_job(id);
           drop_garbage();
--- a/src/coordination/triage.cpp
+++ b/src/coordination/triage.cpp
@@ -7,6 +7,9 @@
 namespace larkroad::coordination {
 namespace {
 
+// More important work of a team is taken to leave the rest at least this part of its room.
+constexpr double kLeastRoom = 0.1;
+
 struct Candidate {
   Job* job;
   double work;    // what is left of it, in seconds of its team's whole room
@@ -17,15 +20,25 @@
   int rank = 0;           // the smaller, the earlier
 };
 
-// The most that a team's jobs can use at once, of each resource.
-Resources team_room(const Ledger& ledger, const std::string& name) {
+// The most that a team's jobs of a priority can use at once, of each resource: its limit or the
+// fleet, whichever is less, without what its more important work takes at present.
+Resources team_room(const Ledger& ledger, const std::string& name, protocol::Priority priority) {
   const TeamSettings* team = ledger.settings().team(name);
   if (team == nullptr) return {};
   Resources fleet;
   for (const auto& [id, machine] : ledger.machines()) fleet += machine.capacity;
   // Before any machine is known the team's limit alone tells.
-  return {fleet.cpus > 0 ? std::min(team->cpus_max, fleet.cpus) : team->cpus_max,
-          fleet.gpus > 0 ? std::min(team->gpus_max, fleet.gpus) : team->gpus_max, 0};
+  Resources room{fleet.cpus > 0 ? std::min(team->cpus_max, fleet.cpus) : team->cpus_max,
+                 fleet.gpus > 0 ? std::min(team->gpus_max, fleet.gpus) : team->gpus_max, 0};
+  const Resources whole = room;
+  for (const auto& [id, job] : ledger.jobs()) {
+    if (job->spec.team != name || job->spec.priority >= priority) continue;
+    room.cpus -= job->spec.cpus * static_cast<double>(job->live.size());
+    room.gpus -= job->spec.gpus * static_cast<double>(job->live.size());
+  }
+  room.cpus = std::max(room.cpus, whole.cpus * kLeastRoom);
+  room.gpus = std::max(room.gpus, whole.gpus * kLeastRoom);
+  return room;
 }
 
 double part_of_room(const JobSpec& spec, const Resources& room) {
@@ -107,23 +120,39 @@
 
 std::vector<Job*> order_of_work(Ledger& ledger, Seconds now) {
   const auto guaranteed = within_guarantee(ledger);
+  // Jobs of one team and priority share its room; what runs already takes the first of it.
+  using Group = std::pair<protocol::Priority, std::string>;
+  std::map<Group, Resources> rooms;
+  const auto room_of = [&](const Job& job) -> const Resources& {
+    const Group group{job.spec.priority, job.spec.team};
+    const auto it = rooms.find(group);
+    if (it != rooms.end()) return it->second;
+    return rooms[group] = team_room(ledger, job.spec.team, job.spec.priority);
+  };
+  std::map<Group, double> running;
   std::vector<Candidate> all;
   for (const auto& [id, job] : ledger.jobs()) {
+    for (const auto& [task, p] : job->live) {
+      const Seconds run = ledger.expected_run(job->spec);
+      const Seconds ran = p.running_since < 0 ? 0 : now - p.running_since;
+      running[{job->spec.priority, job->spec.team}] +=
+          std::max(run - ran, run / 4) * part_of_room(job->spec, room_of(*job));
+    }
     if (job->waiting() == 0) continue;
     Candidate c{job.get(), 0, 0, due_times(ledger, *job), 0, job->submitted, 0};
     const Seconds run = ledger.expected_run(job->spec);
-    const double left = job->waiting() + static_cast<double>(job->live.size()) / 2;
-    c.work = left * run * part_of_room(job->spec, team_room(ledger, job->spec.team));
+    const double left = job->waiting();
+    const auto& room = room_of(*job);
+    c.work = left * run * part_of_room(job->spec, room);
     c.least = run;
     all.push_back(std::move(c));
   }
-  // Jobs of one team and priority share its room.
-  std::map<std::pair<protocol::Priority, std::string>, std::vector<Candidate*>> groups;
+  std::map<Group, std::vector<Candidate*>> groups;
   for (Candidate& c : all) {
     if (!c.due.empty()) groups[{c.job->spec.priority, c.job->spec.team}].push_back(&c);
   }
   for (auto& [key, group] : groups) {
-    double load = 0;
+    double load = running[key];
     int rank = 1;
     std::vector<Candidate*> rest = group;
     while (!rest.empty()) {
