Simulated runs of three nodes with seeded troubles, and a rule checker

Stand-ins for the state service, the cloud, the workers and users; 13 scenarios over 3 seeds each; every rule is shown to be caught when broken. They found that the fleet took room in the wrong zone for room: a gang to be spread over zones waited for ever beside idle machines. It now rents in the zones a job needs.

--- a/src/coordination/fleet.cpp
+++ b/src/coordination/fleet.cpp
@@ -59,10 +59,10 @@
   FleetPlan run() {
     FleetPlan out;
     for (Job* job : order_of_work(ledger_, now_)) {
-      cover(job->spec, job->waiting());
+      cover(job->spec, job->waiting(), zones_for(*job));
     }
     for (const auto& f : forecast(ledger_, now_)) {
-      cover(*f.spec, static_cast<std::uint32_t>(std::ceil(f.missing())));
+      cover(*f.spec, static_cast<std::uint32_t>(std::ceil(f.missing())), {});
     }
     for (const auto& [market, count] : rent_) {
       if (count > 0) out.rent.push_back({market, count});
@@ -72,8 +72,59 @@
   }
 
  private:
+  // How many more of a job's tasks each zone may take; empty: as many as there is room for.
+  using ZoneLimits = std::map<std::string, std::uint32_t>;
+
+  ZoneLimits zones_for(const Job& job) const {
+    ZoneLimits out;
+    if (job.spec.tasks == 1 || (!job.spec.spread && !job.spec.one_zone)) return out;
+    std::map<std::string, std::uint32_t> live;
+    std::string live_zone;
+    for (const auto& [task, placement] : job.live) {
+      const Machine* machine = ledger_.find_machine(placement.machine);
+      if (machine == nullptr) continue;
+      ++live[machine->zone];
+      live_zone = machine->zone;
+    }
+    const auto& zones = ledger_.settings().zones;
+    if (job.spec.spread) {
+      const std::uint32_t most = (job.spec.tasks + 1) / 2;
+      for (const auto& zone : zones) out[zone] = most - std::min(most, live[zone]);
+      return out;
+    }
+    // All in one zone: where it is already, or where most room for it is.
+    if (live_zone.empty()) {
+      double best = -1;
+      for (const auto& zone : zones) {
+        double room = 0;
+        for (const Space& space : spaces_) {
+          if (space.zone == zone && allows(job.spec, *space.type, zone, space.spot)) {
+            room += space.room.times(needs_of(job.spec));
+          }
+        }
+        bool possible = false;
+        for (const auto& type : ledger_.types()) {
+          possible = possible ||
+                     (std::find(type.zones.begin(), type.zones.end(), zone) != type.zones.end() &&
+                      allows(job.spec, type, zone, false));
+        }
+        if (possible && room > best) {
+          best = room;
+          live_zone = zone;
+        }
+      }
+    }
+    for (const auto& zone : zones) out[zone] = zone == live_zone ? job.spec.tasks : 0;
+    return out;
+  }
+
   // Finds room for `count` tasks, in what is there and then in what could be rented.
-  void cover(const JobSpec& spec, std::uint32_t count) {
+  void cover(const JobSpec& spec, std::uint32_t count, ZoneLimits zones) {
+    const auto zone_left = [&zones](const std::string& zone) {
+      if (zones.empty()) return protocol::kMostTasks;
+      const auto it = zones.find(zone);
+      return it == zones.end() ? 0 : it->second;
+    };
     const TeamSettings* team = ledger_.settings().team(spec.team);
     if (team == nullptr) return;
     Resources used = ledger_.used_by(spec.team);
@@ -82,13 +133,15 @@
     count = std::min(count, left.times({spec.cpus, spec.gpus, 0}));
     const Resources need = needs_of(spec);
     const auto take = [&](Space& space) {
-      const std::uint32_t fit = std::min(count, space.room.times(need));
+      const std::uint32_t fit =
+          std::min({count, space.room.times(need), zone_left(space.zone)});
       for (std::uint32_t i = 0; i < fit; ++i) {
         space.room -= need;
         taken_[spec.team] += need;
       }
       if (fit > 0) space.wanted = true;
       count -= fit;
+      if (!zones.empty()) zones[space.zone] -= fit;
     };
     for (Space& space : spaces_) {
       if (count == 0) return;
@@ -103,7 +156,7 @@
         const double price_part = std::min<double>(count, capacity_of(type).times(need));
         for (const auto& zone : type.zones) {
           for (const bool spot : {true, false}) {
-            if (!allows(spec, type, zone, spot)) continue;
+            if (!allows(spec, type, zone, spot) || zone_left(zone) == 0) continue;
             const double price = hourly(type, spot) / price_part;
             if (!refusals_.open({type.name, zone, spot}, now_)) continue;
             if (rent_[{type.name, zone, spot}] >= protocol::kMostRented) continue;
--- a/tests/fleet_test.cpp
+++ b/tests/fleet_test.cpp
@@ -53,6 +53,27 @@
   EXPECT_EQ(rented(round()), 0);
 }
 
+// Room in the wrong zone is none: a gang to be spread waited for ever beside idle machines.
+TEST_F(Fleet, RentsInTheZonesAJobNeeds) {
+  for (int i = 0; i < 3; ++i) testing::up(ledger, "i-" + std::to_string(i), "large", "east");
+  auto spread = testing::spec("job-1", 4);
+  spread.gang = spread.spread = true;
+  testing::add(ledger, spread);
+  const FleetPlan out = round();
+  ASSERT_EQ(out.rent.size(), 1u);
+  EXPECT_EQ(out.rent[0].market.zone, "west");
+  EXPECT_EQ(out.rent[0].count, 1);
+
+  ledger.clear();
+  testing::up(ledger, "i-1", "small", "east");
+  testing::up(ledger, "i-2", "large", "west");
+  auto together = testing::spec("job-2", 10);
+  together.gang = together.one_zone = true;
+  testing::add(ledger, together);
+  for (const auto& rent : round().rent) EXPECT_EQ(rent.market.zone, "west");
+  EXPECT_EQ(rented(round()), 1);
+}
+
 TEST_F(Fleet, NeverRentsBeyondATeamsLimit) {
   testing::add(ledger, testing::spec("job-1", 1000));
   int cpus = 0;
--- /dev/null
+++ b/tests/sim/checker.cpp
@@ -0,0 +1,130 @@
+#include "sim/checker.hpp"
+
+#include <algorithm>
+
+namespace larkroad::sim {
+
+void Checker::breach(Seconds now, const std::string& rule, const std::string& what) {
+  broken_.push_back(rule + ": " + what + " at " + std::to_string(now));
+}
+
+bool Checker::broke(const std::string& rule) const {
+  return std::any_of(broken_.begin(), broken_.end(),
+                     [&](const auto& line) { return line.starts_with(rule + ":"); });
+}
+
+void Checker::asked_to_cancel(const std::string& id) {
+  const auto it = jobs_.find(id);
+  if (it != jobs_.end()) it->second.cancel_asked = true;
+}
+
+void Checker::told(Seconds now, Known& job, const std::string& stage) {
+  const std::string& id = job.spec.id;
+  if (stage == "done") {
+    if (job.completed.size() < job.spec.tasks) breach(now, "not_done", id);
+    if (job.cancelled_at >= 0) breach(now, "went_back", id + " was cancelled, then done");
+    job.told_done = true;
+  } else if (stage == "withdrawn") {
+    if (!job.cancel_asked) breach(now, "went_back", id + " was cancelled by nobody");
+    if (job.told_done) breach(now, "went_back", id + " was done, then cancelled");
+    if (job.cancelled_at < 0) job.cancelled_at = now;
+  } else if (job.told_done || job.cancelled_at >= 0) {
+    breach(now, "went_back", id + " was over, then " + stage);
+  }
+}
+
+void Checker::answered_submission(Seconds now, const std::string& id, int status,
+                                  const std::string& stage) {
+  const auto it = jobs_.find(id);
+  if (it == jobs_.end()) return;
+  if (status == 200 || status == 201) {
+    it->second.accepted = true;
+    told(now, it->second, stage);
+  } else if (it->second.accepted && (status == 400 || status == 422)) {
+    breach(now, "forgotten", id + " is refused again");
+  }
+}
+
+void Checker::answered_query(Seconds now, const std::string& id, int status,
+                             const std::string& stage) {
+  const auto it = jobs_.find(id);
+  if (it == jobs_.end()) {
+    if (status == 200) breach(now, "invented", id);
+    return;
+  }
+  if (status == 404 && it->second.accepted) breach(now, "forgotten", id + " is not known");
+  if (status == 200) {
+    it->second.accepted = true;
+    told(now, it->second, stage);
+  }
+}
+
+void Checker::starts(Seconds now, const TaskId& id, const Place& place) {
+  ++started_;
+  const auto it = jobs_.find(id.job);
+  if (it == jobs_.end()) return;
+  const Known& job = it->second;
+  auto& on = on_[id];
+  for (const auto& [machine, other] : on) {
+    if (machine != place.machine) {
+      breach(now, "ran_twice", id.text() + " on " + machine + " and " + place.machine);
+    }
+  }
+  on[place.machine] = place;
+
+  coordination::Resources used;
+  std::map<std::string, std::uint32_t> zones;
+  for (const auto& [task, places] : on_) {
+    const auto other = jobs_.find(task.job);
+    if (other == jobs_.end()) continue;
+    for (const auto& [machine, p] : places) {
+      if (task.job == id.job) ++zones[p.zone];
+      if (other->second.spec.team != job.spec.team) continue;
+      used += coordination::needs_of(other->second.spec);
+    }
+  }
+  const TeamSettings* team = settings_.team(job.spec.team);
+  if (team == nullptr || used.cpus > team->cpus_max + 1e-6 || used.gpus > team->gpus_max + 1e-6) {
+    breach(now, "quota", job.spec.team + " with " + id.text());
+  }
+  const bool type_allowed =
+      !job.spec.types || std::find(job.spec.types->begin(), job.spec.types->end(), place.type) !=
+                             job.spec.types->end();
+  const bool zone_allowed = !job.spec.zone || *job.spec.zone == place.zone;
+  const bool together = !job.spec.one_zone || zones.size() <= 1;
+  const bool spread = !job.spec.spread || zones[place.zone] <= (job.spec.tasks + 1) / 2;
+  if (!type_allowed || !zone_allowed || (place.spot && !job.spec.spot) || !together || !spread) {
+    breach(now, "wrong_place", id.text() + " on " + place.machine);
+  }
+  if (job.cancelled_at >= 0 && now > job.cancelled_at + settings_.cancel_s) {
+    breach(now, "ran_cancelled", id.text() + " starts");
+  }
+}
+
+void Checker::leaves(const TaskId& id, const std::string& machine) {
+  const auto it = on_.find(id);
+  if (it == on_.end()) return;
+  it->second.erase(machine);
+  if (it->second.empty()) on_.erase(it);
+}
+
+void Checker::completes(const TaskId& id) {
+  const auto it = jobs_.find(id.job);
+  if (it != jobs_.end()) it->second.completed.insert(id.task);
+}
+
+void Checker::look(Seconds now) {
+  for (const auto& [id, places] : on_) {
+    const auto it = jobs_.find(id.job);
+    if (it == jobs_.end() || it->second.cancelled_at < 0) continue;
+    if (now > it->second.cancelled_at + settings_.cancel_s) {
+      breach(now, "ran_cancelled", id.text() + " is still there");
+    }
+  }
+}
+
+void Checker::end() {
+  if (started_ == 0) breach(0, "nothing_ran", "no task was started");
+}
+
+}  // namespace larkroad::sim
--- /dev/null
+++ b/tests/sim/checker.hpp
@@ -0,0 +1,68 @@
+// The protocol's rules, checked over a whole simulated run. It is told what happens on the
+// machines and what users hear, and keeps a list of what broke a rule.
+#pragma once
+
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "coordination/ledger.hpp"
+#include "protocol/jobs.hpp"
+
+namespace larkroad::sim {
+
+using protocol::JobSpec;
+using protocol::TaskId;
+using transport::Seconds;
+
+class Checker {
+ public:
+  explicit Checker(const Settings& settings) : settings_(settings) {}
+
+  struct Place {
+    std::string machine;
+    std::string type;
+    std::string zone;
+    bool spot = false;
+  };
+
+  // What users do and hear.
+  void submitted(const JobSpec& spec) { jobs_.try_emplace(spec.id).first->second.spec = spec; }
+  void asked_to_cancel(const std::string& id);
+  void answered_submission(Seconds now, const std::string& id, int status,
+                           const std::string& stage);
+  void answered_query(Seconds now, const std::string& id, int status, const std::string& stage);
+
+  // What happens on the machines. A task is on its machine from having its image to its end.
+  void starts(Seconds now, const TaskId& id, const Place& place);
+  void leaves(const TaskId& id, const std::string& machine);
+  void completes(const TaskId& id);
+  // Called now and then: finds what lasts too long.
+  void look(Seconds now);
+  void end();
+
+  const std::vector<std::string>& broken() const { return broken_; }
+  size_t started() const { return started_; }
+  bool broke(const std::string& rule) const;
+
+ private:
+  struct Known {
+    JobSpec spec;
+    bool accepted = false;
+    bool cancel_asked = false;
+    Seconds cancelled_at = -1;  // when its user was first told so
+    bool told_done = false;
+    std::set<std::uint32_t> completed;
+  };
+  void breach(Seconds now, const std::string& rule, const std::string& what);
+  void told(Seconds now, Known& job, const std::string& stage);
+
+  const Settings& settings_;
+  std::map<std::string, Known> jobs_;
+  std::map<TaskId, std::map<std::string, Place>> on_;
+  std::vector<std::string> broken_;
+  size_t started_ = 0;
+};
+
+}  // namespace larkroad::sim
--- /dev/null
+++ b/tests/sim/world.cpp
@@ -0,0 +1,461 @@
+#include "sim/world.hpp"
+
+#include <algorithm>
+
+#include "support.hpp"
+
+namespace larkroad::sim {
+
+std::uint64_t Events::at(Seconds when, std::function<void()> fn) {
+  const std::uint64_t id = next_++;
+  queue_.emplace(std::make_pair(std::max(when, now_), id), std::move(fn));
+  return id;
+}
+
+void Events::run(Seconds until) {
+  while (!queue_.empty() && queue_.begin()->first.first <= until) {
+    const auto [when, id] = queue_.begin()->first;
+    auto fn = std::move(queue_.begin()->second);
+    queue_.erase(queue_.begin());
+    now_ = when;
+    if (dropped_.erase(id) == 0) fn();
+  }
+  now_ = until;
+}
+
+namespace {
+
+// A node's own clock: it drifts, and its timers end with the process.
+class NodeClock : public transport::Clock {
+ public:
+  NodeClock(Events& events, std::shared_ptr<bool> alive, double drift)
+      : events_(events), alive_(std::move(alive)), drift_(drift) {}
+  Seconds now() const override { return 1000 + events_.now() * drift_; }
+  Seconds unix_time() const override { return 1.7e9 + events_.now(); }
+  transport::TimerId after(Seconds delay, std::function<void()> fn) override {
+    return events_.at(events_.now() + std::max(0.0, delay) / drift_,
+                      [alive = alive_, fn = std::move(fn)] {
+                        if (*alive) fn();
+                      });
+  }
+  void cancel(transport::TimerId id) override { events_.cancel(id); }
+
+ private:
+  Events& events_;
+  std::shared_ptr<bool> alive_;
+  double drift_;
+};
+
+class NodeClient : public transport::Client {
+ public:
+  NodeClient(World& world, std::string host, std::shared_ptr<bool> alive)
+      : world_(world), host_(std::move(host)), alive_(std::move(alive)) {}
+  void call(const std::string& endpoint, Request request, Seconds timeout,
+            OnReply reply) override {
+    world_.send(host_, endpoint, std::move(request), timeout, std::move(reply), alive_);
+  }
+
+ private:
+  World& world_;
+  std::string host_;
+  std::shared_ptr<bool> alive_;
+};
+
+Settings node_settings(size_t node) {
+  Settings s = testing::settings();
+  s.peers.clear();
+  s.member = "node-" + std::to_string(node);
+  s.state = {"10.2.0.1", 2379};
+  s.cloud = {"10.2.0.2", 8443};
+  for (size_t i = 0; i < 3; ++i) {
+    if (i == node) continue;
+    s.peers.push_back({"node-" + std::to_string(i), "east",
+                       {"10.0.0." + std::to_string(i + 1), 8081}});
+  }
+  return s;
+}
+
+}  // namespace
+
+struct World::Host {
+  Settings settings;
+  std::shared_ptr<bool> alive;
+  std::unique_ptr<NodeClock> clock;
+  std::unique_ptr<NodeClient> client;
+  std::unique_ptr<coordination::Node> node;
+};
+
+World::World(std::uint64_t seed, Troubles t)
+    : settings(testing::settings()),
+      random(seed),
+      troubles(t),
+      checker(settings),
+      state(*this) {
+  for (size_t i = 0; i < 3; ++i) {
+    hosts_.push_back(std::make_unique<Host>());
+    hosts_[i]->settings = node_settings(i);
+    boot(i);
+  }
+  std::function<void()> look = [this] { checker.look(events.now()); };
+  for (int i = 1; i < 2000; ++i) events.at(i * 0.5, look);
+}
+
+World::~World() {
+  for (auto& host : hosts_) {
+    if (host->alive) *host->alive = false;
+  }
+}
+
+void World::boot(size_t i) {
+  Host& host = *hosts_[i];
+  host.alive = std::make_shared<bool>(true);
+  const double drift = 1 + 0.0005 * chance();
+  host.clock = std::make_unique<NodeClock>(events, host.alive, drift);
+  host.client = std::make_unique<NodeClient>(*this, host.settings.member, host.alive);
+  host.node = std::make_unique<coordination::Node>(*host.clock, *host.client, host.settings);
+  host.node->start();
+}
+
+void World::kill(size_t i, Seconds down) {
+  Host& host = *hosts_[i];
+  if (!*host.alive) return;
+  *host.alive = false;
+  host.node.reset();
+  events.at(events.now() + down, [this, i] { boot(i); });
+}
+
+size_t World::leader() const {
+  for (size_t i = 0; i < hosts_.size(); ++i) {
+    if (hosts_[i]->node && hosts_[i]->node->election().leads()) return i;
+  }
+  return hosts_.size();
+}
+
+void World::cut(const std::string& a, const std::string& b, Seconds length) {
+  cuts_[std::minmax(a, b)] = events.now() + length;
+}
+
+Seconds World::cut_ends(const std::string& a, const std::string& b) const {
+  const auto it = cuts_.find(std::minmax(a, b));
+  return it == cuts_.end() ? 0 : it->second;
+}
+
+bool World::is_cut(const std::string& a, const std::string& b) const {
+  return cut_ends(a, b) > events.now();
+}
+
+std::string World::host_of(const std::string& address) const {
+  if (address.starts_with("10.2.0.1:")) return "state";
+  if (address.starts_with("10.2.0.2:")) return "cloud";
+  if (address.starts_with("10.1.")) return "workers";
+  return "node-" + std::to_string(address[7] - '1');
+}
+
+void World::send(const std::string& from, const std::string& address, Request request,
+                 Seconds timeout, OnReply reply, std::shared_ptr<bool> alive) {
+  const std::string to = host_of(address);
+  // The reply comes once: the answer or the time-out, whichever is first.
+  auto over = std::make_shared<bool>(false);
+  const auto finish = [over, alive, reply = std::move(reply)](Outcome outcome,
+                                                              const Response& response) {
+    if (*over) return;
+    *over = true;
+    if (*alive) reply(outcome, response);
+  };
+  const bool new_connection = chance() < 0.3;
+  const Seconds now = events.now();
+  const Seconds there = 0.001 + chance() * 0.004;
+  bool sent = true;
+  Seconds arrives = now + there;
+  if (is_cut(from, to)) {
+    if (new_connection) {
+      sent = false;
+    } else {
+      arrives = cut_ends(from, to) + there;  // held back, and delivered when nobody waits for it
+    }
+  } else if (chance() < troubles.late) {
+    arrives = now + chance() * troubles.latest;
+  }
+  events.at(now + timeout, [finish, sent] {
+    finish(sent ? Outcome::unknown : Outcome::not_sent, {});
+  });
+  if (!sent) return;
+  const bool lost = chance() < troubles.lost;
+  events.at(arrives, [this, from, to, address, request = std::move(request), finish, lost] {
+    deliver(from, address, request, [this, from, to, finish, lost](const Response& response) {
+      if (lost || is_cut(from, to)) return;
+      events.at(events.now() + 0.001 + chance() * 0.004,
+                [finish, response] { finish(Outcome::answered, response); });
+    });
+  });
+}
+
+void World::deliver(const std::string& from, const std::string& address, const Request& request,
+                    Respond respond) {
+  const std::string to = host_of(address);
+  if (to == "state") {
+    if (refused_by_state.contains(from)) {
+      respond({503, "{}", 0});
+    } else {
+      state.handle(request, std::move(respond));
+    }
+  } else if (to == "cloud") {
+    cloud(request, respond);
+  } else if (to == "workers") {
+    for (const auto& worker : workers) {
+      if (worker->address == address && !worker->gone) {
+        worker->handle(request, std::move(respond));
+        return;
+      }
+    }
+  } else {
+    Host& host = *hosts_[static_cast<size_t>(to.back() - '0')];
+    if (!*host.alive) return;
+    if (address.ends_with(":8081")) {
+      host.node->handle_peer(request, std::move(respond));
+    } else {
+      host.node->handle_client(request, std::move(respond));
+    }
+  }
+}
+
+const JobSpec* World::spec(const std::string& id) const {
+  const auto it = submitted_.find(id);
+  return it == submitted_.end() ? nullptr : &it->second;
+}
+
+void World::cloud(const Request& request, const Respond& respond) {
+  if (request.target == "/catalog") {
+    respond({200, protocol::encode_catalog(testing::types()), 0});
+    return;
+  }
+  if (request.target == "/rentals") {
+    const Json ask = Json::parse(request.body);
+    const std::string name = ask.at("ask");
+    if (rented_.contains(name)) {
+      respond({200, rented_[name].dump(), 0});
+      return;
+    }
+    Json names = Json::array();
+    for (int i = 0; i < ask.at("number").get<int>(); ++i) {
+      const auto up = std::count_if(workers.begin(), workers.end(),
+                                    [](const auto& worker) { return !worker->gone; });
+      if (up >= capacity) break;
+      const int number = next_machine_++;
+      auto worker = std::make_shared<Worker>(
+          *this, "i-" + std::to_string(100000 + number),
+          "10.1." + std::to_string(number / 200) + "." + std::to_string(number % 200 + 1) + ":9000",
+          ask.at("breed"), ask.at("yard"), ask.at("loaners"));
+      workers.push_back(worker);
+      created_[worker->name] = events.now();
+      names.push_back(worker->name);
+      events.at(events.now() + 3 + chance() * 5, [worker] {
+        if (!worker->gone) worker->start();
+      });
+    }
+    if (names.empty()) {
+      respond({503, R"({"error":"no capacity"})", 0});
+      return;
+    }
+    rented_[name] = {{"perches", names}};
+    respond({200, rented_[name].dump(), 0});
+    return;
+  }
+  if (request.target == "/rentals/return") {
+    const Json body = Json::parse(request.body);
+    for (const auto& name : body.at("perches")) {
+      for (const auto& worker : workers) {
+        if (worker->name == name) worker->vanish();
+      }
+    }
+    respond({200, "{}", 0});
+    return;
+  }
+  Json list = Json::array();
+  for (const auto& worker : workers) {
+    const Seconds age = events.now() - created_[worker->name];
+    if (age < settings.list_lag_s || worker->gone) continue;
+    list.push_back({{"ref", worker->name},
+                    {"address", worker->address},
+                    {"breed", worker->type},
+                    {"yard", worker->zone},
+                    {"loaners", worker->spot},
+                    {"stage", "running"},
+                    {"ageS", age}});
+  }
+  respond({200, Json{{"perches", list}, {"more", false}}.dump(), 0});
+}
+
+void World::gang_ready(const std::string& job, std::uint64_t attempt) {
+  std::vector<std::pair<Worker*, Worker::Key>> members;
+  for (const auto& worker : workers) {
+    if (worker->gone) continue;
+    for (const auto& [key, task] : worker->tasks_) {
+      if (key.first.job == job && key.second == attempt && task.state == "gathering") {
+        members.emplace_back(worker.get(), key);
+      }
+    }
+  }
+  if (members.size() < spec(job)->tasks) return;
+  for (const auto& [worker, key] : members) worker->run(key);
+}
+
+void World::gang_lost(const std::string& job, std::uint64_t attempt) {
+  if (!spec(job)->gang || spec(job)->tasks == 1) return;
+  events.at(events.now() + settings.gang_peer_s * chance(), [this, job, attempt] {
+    for (const auto& worker : workers) {
+      if (worker->gone) continue;
+      const auto tasks = worker->tasks_;
+      for (const auto& [key, task] : tasks) {
+        if (key.first.job == job && key.second == attempt &&
+            (task.state == "running" || task.state == "saving")) {
+          worker->exit(key, "mates_gone");
+        }
+      }
+    }
+  });
+}
+
+// ---------------------------------------------------------------- users
+
+void World::submit_some(int jobs, Seconds over) {
+  for (int i = 0; i < jobs; ++i) {
+    JobSpec s = testing::spec("job-" + std::to_string(1000 + next_job_++));
+    s.team = chance() < 0.5 ? "red" : "blue";
+    s.cpus = 1 + std::floor(chance() * 4);
+    s.tasks = chance() < 0.6 ? 1 : 1 + static_cast<std::uint32_t>(chance() * 8);
+    s.gang = chance() < 0.3;
+    s.priority = chance() < 0.3 ? protocol::Priority::high : protocol::Priority::normal;
+    s.spot = chance() < 0.5;
+    s.one_zone = chance() < 0.3;
+    s.spread = !s.one_zone && chance() < 0.2;
+    s.estimate_s = 4 + chance() * 20;
+    s.checkpoint_s = chance() < 0.5 ? 5 : 0;
+    s.save_s = 1;
+    if (chance() < 0.2) s.zone = "west";
+    if (s.gang) s.tasks = std::min(s.tasks, 4u);
+    if (s.gang && s.zone) s.spread = false;
+    submitted_[s.id] = s;
+    const Seconds when = events.now() + chance() * over;
+    events.at(when, [this, s] {
+      checker.submitted(s);
+      user_submits(s, 0);
+    });
+    if (chance() < troubles.cancelled) {
+      events.at(when + chance() * 30, [this, id = s.id] {
+        checker.asked_to_cancel(id);
+        user_cancels(id, 0);
+      });
+    }
+  }
+}
+
+namespace {
+
+const char* kRanks[] = {"prod", "urgent", "normal", "best_effort"};
+
+std::string body_of(const JobSpec& s) {
+  Json out{{"ref", s.id},
+           {"lane", s.job_class},
+           {"crew", s.team},
+           {"shape", s.gang ? "gang" : "sweep"},
+           {"rank", kRanks[static_cast<int>(s.priority)]},
+           {"legs", s.tasks},
+           {"cores", s.cpus},
+           {"accelerators", s.gpus},
+           {"memGb", s.memory_gb},
+           {"cargo", s.image},
+           {"pullGb", s.image_gb},
+           {"samePlace", s.one_zone},
+           {"apart", s.spread},
+           {"loaners", s.spot},
+           {"expectS", s.estimate_s},
+           {"waypointS", s.checkpoint_s},
+           {"stowS", s.save_s}};
+  if (s.zone) out["yard"] = *s.zone;
+  return out.dump();
+}
+
+std::string stage_in(const Response& response) {
+  if (response.status != 200 && response.status != 201) return "";
+  return Json::parse(response.body).value("stage", "");
+}
+
+std::string some_node(World& world) {
+  return "10.0.0." + std::to_string(1 + static_cast<int>(world.chance() * 3)) + ":8080";
+}
+
+}  // namespace
+
+void World::user_submits(const JobSpec& s, int tries) {
+  send("users", some_node(*this), {"POST", "/v2/runs", body_of(s)}, 5,
+       [this, s, tries](Outcome outcome, const Response& response) {
+         const bool accepted = outcome == Outcome::answered &&
+                               (response.status == 200 || response.status == 201);
+         if (outcome == Outcome::answered) {
+           checker.answered_submission(events.now(), s.id, response.status, stage_in(response));
+         }
+         if (accepted) {
+           heard_[s.id] = stage_in(response);
+           events.at(events.now() + 5, [this, id = s.id] { user_polls(id); });
+           // A retry may come at any later time.
+           if (chance() < 0.1) {
+             events.at(events.now() + 60 * chance(), [this, s] { user_submits(s, 1000); });
+           }
+         } else if (tries < 60) {
+           events.at(events.now() + 1, [this, s, tries] { user_submits(s, tries + 1); });
+         }
+       },
+       std::make_shared<bool>(true));
+}
+
+void World::user_polls(const std::string& id) {
+  send("users", some_node(*this), {"GET", "/v2/runs/" + id, ""}, 2,
+       [this, id](Outcome outcome, const Response& response) {
+         if (outcome == Outcome::answered) {
+           checker.answered_query(events.now(), id, response.status, stage_in(response));
+           if (response.status == 200) heard_[id] = stage_in(response);
+         }
+         const bool over = heard_[id] == "done" || heard_[id] == "withdrawn";
+         // Those that know the end still ask now and then.
+         if (!over || chance() < 0.8) {
+           events.at(events.now() + 5, [this, id] { user_polls(id); });
+         }
+       },
+       std::make_shared<bool>(true));
+  if (chance() < 0.02) {
+    const std::string nobody = "job-" + std::to_string(900000 + static_cast<int>(chance() * 9));
+    send("users", some_node(*this), {"GET", "/v2/runs/" + nobody, ""}, 2,
+         [this, nobody](Outcome outcome, const Response& response) {
+           if (outcome == Outcome::answered) {
+             checker.answered_query(events.now(), nobody, response.status, stage_in(response));
+           }
+         },
+         std::make_shared<bool>(true));
+  }
+}
+
+void World::user_cancels(const std::string& id, int tries) {
+  send("users", some_node(*this), {"POST", "/v2/runs/" + id + "/cancel", ""}, 5,
+       [this, id, tries](Outcome outcome, const Response& response) {
+         if (outcome == Outcome::answered && response.status == 200) {
+           checker.answered_query(events.now(), id, 200, stage_in(response));
+           heard_[id] = stage_in(response);
+         } else if (tries < 60) {
+           events.at(events.now() + 1, [this, id, tries] { user_cancels(id, tries + 1); });
+         }
+       },
+       std::make_shared<bool>(true));
+}
+
+bool World::all_over() const { return unfinished().empty(); }
+
+std::string World::unfinished() const {
+  std::string out;
+  for (const auto& [id, stage] : heard_) {
+    if (stage != "done" && stage != "withdrawn") out += id + " (" + stage + ") ";
+  }
+  return out;
+}
+
+}  // namespace larkroad::sim
--- /dev/null
+++ b/tests/sim/world.hpp
@@ -0,0 +1,211 @@
+// A simulated deployment: several real nodes of larkroad against stand-ins for the state service,
+// the cloud, the workers and the users, written to the published protocol. Time is simulated and
+// chance is seeded, so that a run repeats.
+#pragma once
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <random>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "coordination/node.hpp"
+#include "sim/checker.hpp"
+#include "support.hpp"
+
+namespace larkroad::sim {
+
+using protocol::Json;
+using transport::OnReply;
+using transport::Outcome;
+using transport::Request;
+using transport::Respond;
+using transport::Response;
+
+class World;
+
+// Events in order of time, and of their making within one time.
+class Events {
+ public:
+  std::uint64_t at(Seconds when, std::function<void()> fn);
+  void cancel(std::uint64_t id) { dropped_.insert(id); }
+  Seconds now() const { return now_; }
+  void run(Seconds until);
+
+ private:
+  std::map<std::pair<Seconds, std::uint64_t>, std::function<void()>> queue_;
+  std::set<std::uint64_t> dropped_;
+  std::uint64_t next_ = 1;
+  Seconds now_ = 0;
+};
+
+// The state service, as its page describes it.
+class StateStandIn {
+ public:
+  explicit StateStandIn(World& world) : world_(world) {}
+  void handle(const Request& request, Respond respond);
+  void set_outage(bool on);
+  std::uint64_t revision() const { return revision_; }
+
+ private:
+  struct Key {
+    Json data;
+    std::uint64_t mark = 0;
+    std::uint64_t lease = 0;
+  };
+  struct Lease {
+    Seconds life = 0;
+    Seconds ends = 0;
+  };
+  struct Change {
+    std::uint64_t mark;
+    std::string key;
+    bool dropped;
+    Json data;
+  };
+  struct Watcher {
+    std::string prefix;
+    std::uint64_t since;
+    Respond respond;
+    bool over = false;
+  };
+  Response commit(const std::string& body);
+  Response list(const std::string& query) const;
+  void watch(const std::string& query, Respond respond);
+  bool answer(Watcher& watcher, bool anyway);
+  void changed();
+  void expire();
+
+  World& world_;
+  std::map<std::string, Key> keys_;
+  std::map<std::uint64_t, Lease> leases_;
+  std::vector<Change> changes_;
+  std::vector<std::shared_ptr<Watcher>> watchers_;
+  std::uint64_t revision_ = 0;
+  std::uint64_t next_lease_ = 1;
+  bool outage_ = false;
+};
+
+// One machine's worker.
+class Worker {
+ public:
+  Worker(World& world, std::string name, std::string address, std::string type, std::string zone,
+         bool spot);
+  void start();
+  void handle(const Request& request, Respond respond);
+  void vanish();  // the machine is gone, and everything on it
+  void notice(Seconds in);
+  void set_faulty() { faulty_ = true; }
+
+  const std::string name, address, type, zone;
+  const bool spot;
+  bool gone = false;
+
+ private:
+  struct Task {
+    std::string state;
+    std::string cause;
+    bool saved = false;
+    bool on = false;
+    std::uint64_t serial = 0;
+  };
+  using Key = std::pair<TaskId, std::uint64_t>;
+  Json report();
+  void send_report();
+  void changed();
+  void carry_out(const Json& calls);
+  void launch(const TaskId& id, std::uint64_t attempt);
+  void kill(const Key& key, double slack);
+  void exit(const Key& key, const std::string& cause, bool saved = false);
+  void has_image(const Key& key, std::uint64_t serial);
+  void run(const Key& key);
+  void check_lease();
+  void end_all();
+
+  World& world_;
+  friend class World;
+  std::map<Key, Task> tasks_;
+  std::uint64_t session_ = 1;
+  std::uint64_t tick_ = 0;
+  std::uint64_t token_ = 0;
+  Seconds answered_sent_ = 0;
+  Seconds reported_at_ = -1;
+  Seconds taken_at_ = -1;
+  std::uint64_t next_report_ = 0;
+  bool in_flight_ = false;
+  bool again_ = false;
+  bool faulty_ = false;
+  size_t home_ = 0;
+  std::uint64_t serial_ = 0;
+};
+
+struct Troubles {
+  double lost = 0;       // answers that get lost, as a part of all
+  double late = 0;       // requests that arrive long after the sender gave up
+  Seconds latest = 40;   // how late
+  double cancelled = 0.1;
+};
+
+class World {
+ public:
+  World(std::uint64_t seed, Troubles troubles);
+  ~World();
+
+  void run(Seconds until) { events.run(until); }
+  void submit_some(int jobs, Seconds over);
+  void kill(size_t node, Seconds down);
+  // Hosts are "node-0", "state", "cloud", "workers".
+  void cut(const std::string& a, const std::string& b, Seconds length);
+  size_t leader() const;  // count of nodes when none leads
+  bool all_over() const;
+  std::string unfinished() const;
+
+  // The network: what a host sends to an address.
+  void send(const std::string& from, const std::string& address, Request request, Seconds timeout,
+            OnReply reply, std::shared_ptr<bool> alive);
+  // What a submission said, as the workers see it; nullptr when never submitted.
+  const JobSpec* spec(const std::string& id) const;
+  double chance() { return std::uniform_real_distribution<>(0, 1)(random); }
+
+  Settings settings;
+  Events events;
+  std::mt19937_64 random;
+  Troubles troubles;
+  Checker checker;
+  StateStandIn state;
+  std::vector<std::shared_ptr<Worker>> workers;
+  std::map<std::string, std::set<std::uint32_t>> results;  // of completed tasks
+  std::set<std::string> refused_by_state;                  // nodes it answers 503
+
+  // The cloud.
+  void cloud(const Request& request, const Respond& respond);
+  int capacity = 30;
+
+ private:
+  friend class Worker;
+  struct Host;
+  void boot(size_t node);
+  void deliver(const std::string& from, const std::string& address, const Request& request,
+               Respond respond);
+  bool is_cut(const std::string& a, const std::string& b) const;
+  Seconds cut_ends(const std::string& a, const std::string& b) const;
+  std::string host_of(const std::string& address) const;
+  void user_submits(const JobSpec& spec, int tries);
+  void user_polls(const std::string& id);
+  void user_cancels(const std::string& id, int tries);
+  void gang_ready(const std::string& job, std::uint64_t attempt);
+  void gang_lost(const std::string& job, std::uint64_t attempt);
+
+  std::vector<std::unique_ptr<Host>> hosts_;
+  std::map<std::pair<std::string, std::string>, Seconds> cuts_;
+  std::map<std::string, JobSpec> submitted_;
+  std::map<std::string, std::string> heard_;  // the latest stage each user was told
+  std::map<std::string, Json> rented_;        // answers by request name
+  std::map<std::string, Seconds> created_;
+  int next_machine_ = 0;
+  int next_job_ = 0;
+};
+
+}  // namespace larkroad::sim
--- /dev/null
+++ b/tests/sim_test.cpp
@@ -0,0 +1,242 @@
+// Whole runs of three nodes against the stand-ins, with troubles; and the rule checker itself.
+#include <gtest/gtest.h>
+
+#include "log.hpp"
+#include "sim/world.hpp"
+
+namespace larkroad::sim {
+namespace {
+
+// ---------------------------------------------------------------- the checker
+
+class Rules : public ::testing::Test {
+ protected:
+  Rules() : settings(testing::settings()), checker(settings) {
+    spec = testing::spec("job-1", 2, 20);
+    spec.one_zone = true;
+    checker.submitted(spec);
+    checker.answered_submission(1, "job-1", 201, "pending");
+  }
+  const Checker::Place east{"i-1", "large", "east", false};
+  const Checker::Place east2{"i-2", "large", "east", false};
+  const Checker::Place west{"i-3", "large", "west", false};
+  const Checker::Place spot{"i-4", "large", "east", true};
+  Settings settings;
+  Checker checker;
+  JobSpec spec;
+};
+
+TEST_F(Rules, AnOrdinaryLifeBreaksNone) {
+  checker.starts(2, {"job-1", 0}, east);
+  checker.leaves({"job-1", 0}, "i-1");
+  checker.completes({"job-1", 0});
+  checker.starts(3, {"job-1", 1}, west);
+  checker.leaves({"job-1", 1}, "i-3");
+  checker.completes({"job-1", 1});
+  checker.answered_query(4, "job-1", 200, "done");
+  checker.answered_query(5, "job-2", 404, "");
+  checker.look(500);
+  checker.end();
+  EXPECT_TRUE(checker.broken().empty()) << checker.broken().front();
+}
+
+TEST_F(Rules, EachPlantedBreachIsFound) {
+  const struct {
+    const char* rule;
+    std::function<void(Checker&)> breach;
+  } cases[] = {
+      {"ran_twice",
+       [&](Checker& c) {
+         c.starts(2, {"job-1", 0}, east);
+         c.starts(3, {"job-1", 0}, east2);
+       }},
+      {"quota",  // 20 CPUs each, 32 at most
+       [&](Checker& c) {
+         c.starts(2, {"job-1", 0}, east);
+         c.starts(3, {"job-1", 1}, east2);
+       }},
+      {"wrong_place", [&](Checker& c) { c.starts(2, {"job-1", 0}, spot); }},
+      {"wrong_place",
+       [&](Checker& c) {
+         c.starts(2, {"job-1", 0}, east);
+         c.starts(3, {"job-1", 1}, west);
+       }},
+      {"ran_cancelled",
+       [&](Checker& c) {
+         c.asked_to_cancel("job-1");
+         c.answered_query(2, "job-1", 200, "withdrawn");
+         c.starts(2 + 31, {"job-1", 0}, east);
+       }},
+      {"ran_cancelled",
+       [&](Checker& c) {
+         c.starts(2, {"job-1", 0}, east);
+         c.asked_to_cancel("job-1");
+         c.answered_query(2, "job-1", 200, "withdrawn");
+         c.look(2 + 31);
+       }},
+      {"forgotten", [&](Checker& c) { c.answered_query(2, "job-1", 404, ""); }},
+      {"forgotten", [&](Checker& c) { c.answered_submission(2, "job-1", 422, ""); }},
+      {"invented", [&](Checker& c) { c.answered_query(2, "job-7", 200, "pending"); }},
+      {"not_done", [&](Checker& c) { c.answered_query(2, "job-1", 200, "done"); }},
+      {"went_back",
+       [&](Checker& c) {
+         c.completes({"job-1", 0});
+         c.completes({"job-1", 1});
+         c.answered_query(2, "job-1", 200, "done");
+         c.answered_query(3, "job-1", 200, "running");
+       }},
+      {"went_back", [&](Checker& c) { c.answered_query(2, "job-1", 200, "withdrawn"); }},
+      {"went_back",
+       [&](Checker& c) {
+         c.completes({"job-1", 0});
+         c.completes({"job-1", 1});
+         c.asked_to_cancel("job-1");
+         c.answered_query(2, "job-1", 200, "withdrawn");
+         c.answered_query(3, "job-1", 200, "done");
+       }},
+      {"nothing_ran", [&](Checker& c) { c.end(); }},
+  };
+  for (const auto& c : cases) {
+    Checker fresh(settings);
+    fresh.submitted(spec);
+    fresh.answered_submission(1, "job-1", 201, "pending");
+    c.breach(fresh);
+    EXPECT_TRUE(fresh.broke(c.rule)) << c.rule;
+  }
+}
+
+// ---------------------------------------------------------------- whole runs
+
+struct Scenario {
+  const char* name;
+  Troubles troubles;
+  std::function<void(World&)> plan;
+};
+
+void PrintTo(const Scenario& scenario, std::ostream* out) { *out << scenario.name; }
+
+// Something done to whoever leads at that time.
+void to_leader(World& world, Seconds when, std::function<void(size_t)> fn) {
+  world.events.at(when, [&world, fn = std::move(fn)] {
+    const size_t leader = world.leader();
+    if (leader < 3) fn(leader);
+  });
+}
+
+std::string node(size_t i) { return "node-" + std::to_string(i); }
+
+const Scenario kScenarios[] = {
+    {"quiet", {}, [](World&) {}},
+    {"lost_answers", {0.03, 0, 40, 0.2}, [](World&) {}},
+    {"late_requests", {0.01, 0.02, 40, 0.3}, [](World&) {}},
+    {"leader_crashes", {0.005, 0.005, 30, 0.2},
+     [](World& w) {
+       for (const Seconds when : {30, 55, 70, 71, 100}) {
+         to_leader(w, when, [&w](size_t i) { w.kill(i, 4); });
+       }
+     }},
+    {"leader_restarts_at_once", {0.005, 0.005, 30, 0.2},
+     [](World& w) {
+       for (const Seconds when : {30, 45, 60, 75}) {
+         to_leader(w, when, [&w](size_t i) { w.kill(i, 0.3); });
+       }
+     }},
+    {"all_crash", {0, 0.01, 30, 0.2},
+     [](World& w) {
+       for (const Seconds when : {40, 90}) {
+         w.events.at(when, [&w] {
+           for (size_t i = 0; i < 3; ++i) w.kill(i, 3 + static_cast<double>(i));
+         });
+       }
+     }},
+    {"state_outage", {0.002, 0, 30, 0.3},
+     [](World& w) {
+       for (const Seconds when : {30, 80}) {
+         w.events.at(when, [&w] { w.state.set_outage(true); });
+         w.events.at(when + 15, [&w] { w.state.set_outage(false); });
+       }
+     }},
+    {"outage_and_crash", {0.002, 0.005, 30, 0.3},
+     [](World& w) {
+       w.events.at(40, [&w] { w.state.set_outage(true); });
+       w.events.at(52, [&w] { w.state.set_outage(false); });
+       to_leader(w, 44, [&w](size_t i) { w.kill(i, 4); });
+     }},
+    {"leader_refused_by_state", {0.002, 0, 30, 0.4},
+     [](World& w) {
+       for (const Seconds when : {30, 80}) {
+         to_leader(w, when, [&w](size_t i) {
+           w.refused_by_state.insert(node(i));
+           w.events.at(w.events.now() + 25, [&w, i] { w.refused_by_state.erase(node(i)); });
+         });
+       }
+     }},
+    {"leader_cut_from_state", {0.002, 0.005, 30, 0.4},
+     [](World& w) {
+       for (const Seconds when : {30, 80}) {
+         to_leader(w, when, [&w](size_t i) { w.cut(node(i), "state", 25); });
+       }
+     }},
+    {"leader_cut_from_workers", {0.002, 0.005, 30, 0.4},
+     [](World& w) {
+       for (const Seconds when : {30, 80}) {
+         to_leader(w, when, [&w](size_t i) { w.cut(node(i), "workers", 25); });
+       }
+     }},
+    {"leader_cut_from_all", {0.002, 0.005, 30, 0.4},
+     [](World& w) {
+       for (const Seconds when : {30, 80}) {
+         to_leader(w, when, [&w](size_t i) {
+           for (const char* other : {"state", "workers", "users", "cloud"}) {
+             w.cut(node(i), other, 30);
+           }
+           for (size_t j = 0; j < 3; ++j) {
+             if (j != i) w.cut(node(i), node(j), 30);
+           }
+         });
+       }
+     }},
+    {"machines_die", {0.002, 0.005, 30, 0.2},
+     [](World& w) {
+       for (int k = 0; k < 10; ++k) {
+         w.events.at(25 + 8 * k, [&w, k] {
+           std::vector<Worker*> up;
+           for (const auto& worker : w.workers) {
+             if (!worker->gone) up.push_back(worker.get());
+           }
+           if (up.empty()) return;
+           Worker& victim = *up[static_cast<size_t>(w.chance() * static_cast<double>(up.size()))];
+           if (k % 3 == 0) {
+             victim.vanish();
+           } else if (k % 3 == 1) {
+             victim.notice(5);
+           } else {
+             victim.set_faulty();
+           }
+         });
+       }
+     }},
+};
+
+class Run : public ::testing::TestWithParam<Scenario> {};
+
+TEST_P(Run, KeepsTheRulesAndFinishes) {
+  for (const std::uint64_t seed : {1, 2, 3}) {
+    SCOPED_TRACE("seed " + std::to_string(seed));
+    spdlog::set_level(std::getenv("LOG_LEVEL") ? spdlog::level::debug : spdlog::level::err);
+    World world(seed, GetParam().troubles);
+    world.submit_some(60, 110);
+    GetParam().plan(world);
+    world.run(400);
+    world.checker.end();
+    for (const auto& line : world.checker.broken()) ADD_FAILURE() << line;
+    EXPECT_TRUE(world.all_over()) << world.unfinished();
+    EXPECT_GT(world.checker.started(), 60u);
+  }
+}
+
+INSTANTIATE_TEST_SUITE_P(Scenarios, Run, ::testing::ValuesIn(kScenarios),
+                         [](const auto& info) { return std::string(info.param.name); });
+
+}  // namespace
+}  // namespace larkroad::sim
