--- a/tests/sim/world.hpp
+++ b/tests/sim/world.hpp
@@ -156,7 +156,7 @@
   void run(Seconds until) { events.run(until); }
   void submit_some(int jobs, Seconds over);
   void kill(size_t node, Seconds down);
-  // Hosts are "node-0", "state", "cloud", "workers".
+  // Hosts are "node-0", "state", "cloud", "users", a machine's name, or "workers" for them all.
   void cut(const std::string& a, const std::string& b, Seconds length);
   size_t leader() const;  // count of nodes when none leads
   bool all_over() const;
@@ -189,6 +189,7 @@
   void boot(size_t node);
   void deliver(const std::string& from, const std::string& address, const Request& request,
                Respond respond);
+  static std::string group_of(const std::string& host);
   bool is_cut(const std::string& a, const std::string& b) const;
   Seconds cut_ends(const std::string& a, const std::string& b) const;
   std::string host_of(const std::string& address) const;
