Images that machines hold outlive the leader

Cause: urgent tasks that waited 14 to 16 s after a takeover had been sent to machines without their image: a new leader knew only the images of what runs.

--- a/src/coordination/leader.cpp
+++ b/src/coordination/leader.cpp
@@ -61,6 +61,8 @@
   holds_.clear();
   refusals_.clear();
   loaded_placements_.clear();
+  loaded_images_.clear();
+  recording_images_ = false;
   garbage_.clear();
   gone_machines_.clear();
   pending_rentals_.clear();
@@ -117,6 +119,28 @@
     for (auto& entry : reply.entries) loaded_placements_.push_back(std::move(entry));
     if (reply.more && !reply.entries.empty()) {
       load_placements(loaded_placements_.back().key);
+    } else {
+      load_images("");
+    }
+  }));
+}
+
+void Leader::load_images(const std::string& after) {
+  state_.list(storage::kMachinePrefix, after, guarded([this, after](storage::ListReply reply) {
+    if (reply.status != Status::ok) {
+      later(settings_.report_s * kTickRatio, [this, after] { load_images(after); });
+      return;
+    }
+    for (const auto& entry : reply.entries) {
+      const std::string name = entry.key.substr(std::string(storage::kMachinePrefix).size());
+      try {
+        loaded_images_[name] = storage::decode_images(entry.data);
+      } catch (const std::exception& error) {
+        spdlog::error("record {}: {}", entry.key, error.what());
+      }
+    }
+    if (reply.more && !reply.entries.empty()) {
+      load_images(reply.entries.back().key);
     } else {
       loaded();
     }
@@ -435,6 +459,42 @@
   }));
 }
 
+// What machines hold outlives a leader only for the sake of speed: it is written when nothing
+// else waits for the state service, some machines at a time.
+void Leader::record_images() {
+  if (recording_images_ || !election_.leads()) return;
+  storage::Transaction txn;
+  std::vector<std::string> names;
+  txn.guards.push_back({storage::kLeaderKey, election_.token()});
+  for (auto& [name, machine] : ledger_.machines()) {
+    if (!machine.images_changed) continue;
+    if (static_cast<int>(txn.changes()) >= settings_.txn_ops) break;
+    std::vector<std::pair<Seconds, std::pair<std::string, double>>> by_use;
+    for (const auto& [image, entry] : machine.images) {
+      by_use.push_back({entry.second, {image, entry.first}});
+    }
+    std::sort(by_use.begin(), by_use.end());
+    storage::Images images;
+    for (auto& [used, image] : by_use) images.push_back(std::move(image));
+    while (images.size() > 1 &&
+           storage::encode(images).dump().size() > settings_.value_kb * 1024) {
+      images.erase(images.begin());
+    }
+    machine.images_changed = false;
+    names.push_back(name);
+    txn.writes.push_back({storage::kMachinePrefix + name, storage::encode(images), std::nullopt});
+  }
+  if (names.empty()) return;
+  recording_images_ = true;
+  state_.commit(txn, guarded([this, names](const storage::CommitReply& reply) {
+    recording_images_ = false;
+    if (reply.status == Status::ok) return;
+    for (const auto& name : names) {
+      if (Machine* machine = ledger_.find_machine(name)) machine->images_changed = true;
+    }
+  }));
+}
+
 void Leader::gone(Job& job, std::uint32_t task, const std::string& why) {
   spdlog::info("task {}/{} is gone: {}", job.id(), task, why);
   const auto it = job.live.find(task);
@@ -497,6 +557,10 @@
     machine.up_since = now;
     machine.idle_since = now;
     if (machine.rented_at == 0) machine.rented_at = now;
+    if (const auto it = loaded_images_.find(report.machine); it != loaded_images_.end()) {
+      for (const auto& [image, gb] : it->second) machine.images[image] = {gb, now};
+      loaded_images_.erase(it);
+    }
     spdlog::info("machine {} ({} in {}{}) is up", report.machine, report.type, report.zone,
                  report.spot ? ", spot" : "");
   }
@@ -822,6 +886,8 @@
     }
   }
   ledger_.remove_machine(name);
+  garbage_.push_back(storage::kMachinePrefix + name);
+  drop_garbage();
 }
 
 // ---------------------------------------------------------------- loops
@@ -914,6 +980,7 @@
 
 void Leader::fleet_round() {
   later(settings_.report_s * kFleetRatio, [this] { fleet_round(); });
+  record_images();
   if (!election_.leads() || !catalog_.known()) return;
   // Until the machines of an earlier leader have had time to report, what is there is not known.
   if (!listed_once_ || clock_.now() - ready_at_ < settings_.report_s * 1.5) return;
--- a/src/coordination/leader.hpp
+++ b/src/coordination/leader.hpp
@@ -50,6 +50,7 @@
   // Loading.
   void load_jobs(const std::string& after);
   void load_placements(const std::string& after);
+  void load_images(const std::string& after);
   void loaded();
   void watch_jobs();
   void apply_job(const std::string& id, const storage::Json& data, std::uint64_t mark);
@@ -63,6 +64,7 @@
               const std::vector<std::uint32_t>& done, const storage::CommitReply& reply);
   void finish_job(Job& job);
   void drop_garbage();
+  void record_images();
   void gone(Job& job, std::uint32_t task, const std::string& why);
 
   // Workers.
@@ -108,8 +110,10 @@
   Refusals refusals_;
   std::uint64_t watched_to_ = 0;
   std::vector<storage::Entry> loaded_placements_;
+  std::map<std::string, storage::Images> loaded_images_;
   std::vector<std::string> garbage_;
   bool dropping_ = false;
+  bool recording_images_ = false;
   std::map<std::string, Seconds> gone_machines_;  // known to be gone, though lists lag
   std::map<Market, int> pending_rentals_;
   std::uint64_t rentals_ = 0;
--- a/src/coordination/ledger.cpp
+++ b/src/coordination/ledger.cpp
@@ -77,6 +77,7 @@
 }
 
 void Machine::touch_image(const std::string& image, double gb, double cache_gb, Seconds now) {
+  images_changed = !images.contains(image) || images_changed;
   images[image] = {gb, now};
   double total = 0;
   for (const auto& [name, entry] : images) total += entry.first;
--- a/src/coordination/ledger.hpp
+++ b/src/coordination/ledger.hpp
@@ -137,6 +137,7 @@
   std::set<TaskId> tasks;
   std::map<std::pair<TaskId, std::uint64_t>, Doubt> doubts;  // by task and attempt
   std::map<std::string, std::pair<double, Seconds>> images;  // size and last use, as guessed
+  bool images_changed = false;  // since they were recorded
 
   Resources room() const;
   bool usable(Seconds now) const;
--- a/src/storage/records.cpp
+++ b/src/storage/records.cpp
@@ -90,6 +90,20 @@
           static_cast<std::uint32_t>(protocol::integer(data, "tasks"))};
 }
 
+Json encode(const Images& images) {
+  Json out = Json::array();
+  for (const auto& [name, gb] : images) out.push_back(Json::array({name, gb}));
+  return Json{{"images", std::move(out)}};
+}
+
+Images decode_images(const Json& data) {
+  Images out;
+  for (const Json& image : protocol::array(data, "images")) {
+    out.emplace_back(image.at(0).get<std::string>(), image.at(1).get<double>());
+  }
+  return out;
+}
+
 std::uint32_t tasks_per_chunk(double value_kb) {
   return static_cast<std::uint32_t>(std::clamp(value_kb * 1024 / kBytesPerTask, 1.0, 1024.0));
 }
--- a/src/storage/records.hpp
+++ b/src/storage/records.hpp
@@ -5,6 +5,7 @@
 //   j/ID            a job that is not over: what was submitted, and whether it is cancelled
 //   p/ID/CHUNK      where the job's tasks are placed and which are done, a range of tasks each
 //   d/ID            a job that is over, for good
+//   m/MACHINE       the images a machine is known to hold: a help to a new leader, nothing more
 #pragma once
 
 #include <cstdint>
@@ -21,6 +22,7 @@
 inline constexpr const char* kCatalogKey = "catalog";
 inline constexpr const char* kJobPrefix = "j/";
 inline constexpr const char* kPlacementPrefix = "p/";
+inline constexpr const char* kMachinePrefix = "m/";
 
 std::string job_key(const std::string& id);
 std::string finished_key(const std::string& id);
@@ -58,6 +60,10 @@
 Json encode(const FinishedRecord& record);
 FinishedRecord decode_finished(const Json& data);
 
+using Images = std::vector<std::pair<std::string, double>>;  // name and size, oldest use first
+Json encode(const Images& images);
+Images decode_images(const Json& data);
+
 // How many tasks share a placement record, so that its worst case fits the service's value limit.
 std::uint32_t tasks_per_chunk(double value_kb);
 
--- a/tests/records_test.cpp
+++ b/tests/records_test.cpp
@@ -40,6 +40,12 @@
   EXPECT_TRUE(decode_chunk(encode(ChunkRecord{})).placed.empty());
 }
 
+TEST(Records, ImagesGiveTheSameBack) {
+  const Images images{{"img-1", 2.5}, {"img-2", 4}};
+  EXPECT_EQ(decode_images(encode(images)), images);
+  EXPECT_TRUE(decode_images(encode(Images{})).empty());
+}
+
 // A new leader builds its picture from chunks in whatever order the store lists their keys.
 TEST(Records, ALedgerIsBuiltFromChunksInAnyOrder) {
   const Settings settings = testing::settings();
