Claim what is freed for urgent work; end a gang's attempt with any exit

The crowded simulation showed a gang that never started again: a member that exited alone was launched anew with the same attempt on the machine that remembered it. A gang's attempt now ends with any of its tasks.

--- a/src/coordination/leader.cpp
+++ b/src/coordination/leader.cpp
@@ -681,7 +681,6 @@
 
 void Leader::exited(Machine& machine, Job& job, const protocol::TaskReport& task) {
   const Seconds now = clock_.now();
-  const bool stopped_here = job.live.at(task.id.task).stopping;
   spdlog::info("task {} attempt {} on {} exited: {}{}", task.id.text(), task.attempt, machine.name,
                protocol::cause_name(task.cause), task.saved ? ", saved" : "");
   const Seconds pause =
@@ -718,13 +717,10 @@
     default:
       break;
   }
-  if (stopped_here || task.cause != ExitCause::mates_gone) {
-    gone(job, task.id.task, protocol::cause_name(task.cause));
-  } else {
-    ledger_.unplace(job, task.id.task, now);
-    if (job.spec.tasks > 1) break_gang(job, "mates gone");
-    request_plan();
-  }
+  gone(job, task.id.task, protocol::cause_name(task.cause));
+  // A gang's attempt ends with the exit of any of its tasks. The worker remembers the attempt, so
+  // launching it there again would have no effect; the rest starts anew under the next one.
+  if (job.spec.gang && job.spec.tasks > 1) break_gang(job, protocol::cause_name(task.cause));
 }
 
 void Leader::absent(Machine& machine, Job& job, Placement& placement, Commands& commands) {
@@ -973,7 +969,7 @@
     const auto it = job->live.find(victim.task);
     if (it == job->live.end() || it->second.stage != Placement::Stage::held) continue;
     spdlog::info("task {}/{} gives way to {}", victim.job, victim.task, victim.for_job);
-    stop(*job, it->second, job->spec.checkpoint_s > 0 ? grace(*job) : 0);
+    stop(*job, it->second, victim.save ? grace(*job) : 0);
   }
   if (plan_from_ != 0) request_plan();
 }
--- a/src/coordination/planner.cpp
+++ b/src/coordination/planner.cpp
@@ -92,7 +92,10 @@
       Job* job = jobs[i];
       if (job->busy || now_ < job->retry_at) continue;
       const std::uint32_t quota = quota_room(*job);
-      if (quota == 0) continue;
+      if (quota == 0) {
+        unplaced(*job, out);
+        continue;
+      }
       Assignment assignment{job->id(), {}};
       if (job->spec.gang) {
         place_gang(*job, quota, assignment);
@@ -102,12 +105,14 @@
           assignment.tasks.emplace_back(task, slot->machine->name);
         }
       }
-      if (assignment.tasks.empty()) continue;
+      if (assignment.tasks.empty()) {
+        unplaced(*job, out);
+        continue;
+      }
       Resources& taken = taken_[job->spec.team];
       for (size_t i = 0; i < assignment.tasks.size(); ++i) taken += needs_of(job->spec);
       out.assignments.push_back(std::move(assignment));
     }
-    preempt(jobs, out);
     return out;
   }
 
@@ -120,6 +125,8 @@
     Resources used = ledger_.used_by(job.spec.team);
     const auto it = taken_.find(job.spec.team);
     if (it != taken_.end()) used += it->second;
+    const auto claimed = claimed_.find(job.spec.team);
+    if (claimed != claimed_.end()) used += claimed->second;
     // What may come of the team's more important work keeps its part of the limit.
     for (const Reserve& reserve : reserves_) {
       if (reserve.spec->priority >= job.spec.priority) continue;
@@ -164,61 +171,57 @@
     slot.room -= needs_of(job.spec);
   }
 
-  // Stops less important tasks where that makes room for a job that found none. What is being
-  // stopped already counts as room to come, so that nothing is stopped twice for one need.
-  void preempt(const std::vector<Job*>& jobs, Plan& out) {
-    std::set<std::string> served;
-    for (const auto& assignment : out.assignments) served.insert(assignment.job);
-    std::vector<Slot> coming;
-    bool computed = false;
-    for (Job* job : jobs) {
-      if (served.contains(job->id()) || job->busy || now_ < job->retry_at) continue;
-      if (job->spec.priority >= protocol::Priority::normal) break;  // the order is by priority
-      if (limits_.out_of_time()) return;
-      if (job->spec.gang && job->waiting() > 1) continue;
-      if (!computed) {
-        computed = true;
-        coming = slots_;
-        for (Slot& slot : coming) {
-          for (const auto& id : slot.machine->tasks) {
-            const Job* other = ledger_.job(id.job);
-            if (other != nullptr && other->live.at(id.task).stopping) {
-              slot.room += needs_of(other->spec);
-            }
-          }
-        }
+  void unplaced(const Job& job, Plan& out) {
+    // Only urgent work pushes other work aside, and one task of a job in a round.
+    if (job.spec.priority >= protocol::Priority::normal) return;
+    if (job.spec.gang && job.waiting() > 1) return;
+    preempt_for(job, out);
+  }
+
+  // Room on a slot once all that is being stopped there is gone, less what is claimed of it.
+  Resources coming(const Slot& slot) const {
+    Resources room = slot.room;
+    for (const auto& id : slot.machine->tasks) {
+      const Job* other = ledger_.job(id.job);
+      if (other != nullptr && (other->live.at(id.task).stopping || stopped_.contains(id))) {
+        room += needs_of(other->spec);
       }
-      preempt_for(*job, coming, out);
     }
+    return room;
   }
 
-  void preempt_for(const Job& job, std::vector<Slot>& coming, Plan& out) {
+  // Stops less important tasks where that makes room for a job that found none, and claims that
+  // room and the part of the team's limit: what the first of them leaves must not go to less
+  // important work before the last has left. What is being stopped already counts as room to
+  // come, so that nothing is stopped twice for one need.
+  void preempt_for(const Job& job, Plan& out) {
     const TeamSettings* team = ledger_.settings().team(job.spec.team);
     if (team == nullptr) return;
-    // Whether the team's limit is in the way, once what is being stopped is gone.
     Resources used = ledger_.used_by(job.spec.team);
     used += taken_[job.spec.team];
     used += claimed_[job.spec.team];
     for (const auto& [id, other] : ledger_.jobs()) {
       if (other->spec.team != job.spec.team) continue;
       for (const auto& [task, placement] : other->live) {
-        if (placement.stopping) used -= needs_of(other->spec);
+        if (placement.stopping || stopped_.contains({id, task})) used -= needs_of(other->spec);
       }
     }
-    const Resources need = needs_of(job.spec);
     const Resources left{team->cpus_max - used.cpus, team->gpus_max - used.gpus, 1e12};
-    const bool over_limit = !left.fits({need.cpus, need.gpus, 0});
+    const Resources need = needs_of(job.spec);
     Slot* best = nullptr;
     std::vector<Preemption> best_victims;
     double best_loss = 0;
-    for (Slot& slot : coming) {
+    for (Slot& slot : slots_) {
       const MachineType* type = ledger_.type(slot.machine->type);
       if (type == nullptr || !allows(job.spec, *type, slot.machine->zone, slot.machine->spot)) {
         continue;
       }
       std::vector<Preemption> victims;
       double loss = 0;
-      if (!gather(job, slot, left, over_limit, victims, loss)) continue;
+      if (!slot.machine->images.contains(job.spec.image) && type->fetch_gb_per_s > 0) {
+        loss += job.spec.image_gb / type->fetch_gb_per_s;
+      }
+      if (!gather(job, slot, left, victims, loss)) continue;
       if (best == nullptr || loss < best_loss) {
         best = &slot;
         best_loss = loss;
@@ -226,40 +229,61 @@
       }
     }
     if (best == nullptr) return;
-    for (const auto& victim : best_victims) {
-      stopped_.insert({victim.job, victim.task});
-      const Job& other = *ledger_.job(victim.job);
-      best->room += needs_of(other.spec);
-      if (other.spec.team == job.spec.team) {
-        claimed_[job.spec.team] -= needs_of(other.spec);
-      }
-    }
+    for (const auto& victim : best_victims) stopped_.insert({victim.job, victim.task});
     best->room -= need;
     claimed_[job.spec.team] += need;
     out.preemptions.insert(out.preemptions.end(), best_victims.begin(), best_victims.end());
   }
 
-  // The cheapest tasks of a machine that, once stopped, make room for a task of the job. False when
-  // there are none such; true without victims when there will be room anyway.
-  bool gather(const Job& job, const Slot& slot, const Resources& left, bool over_limit,
+  // Whether an aim of the job is still to be met that saving first would miss.
+  bool in_a_hurry(const Job& job, Seconds save) const {
+    const Seconds run = ledger_.expected_run(job.spec);
+    for (const Seconds due : due_times(ledger_, job)) {
+      const Seconds start = due - run;
+      if (start > now_ && start < now_ + save + ledger_.settings().report_s / 4) return true;
+    }
+    return false;
+  }
+
+  // The cheapest tasks of a machine, or of the team where only its limit is in the way, that make
+  // room for a task of the job once they are stopped. False when there are none such; true
+  // without victims when there will be room anyway.
+  bool gather(const Job& job, const Slot& slot, const Resources& left,
               std::vector<Preemption>& victims, double& loss) const {
     struct Victim {
       const Job* job;
       const Placement* placement;
       double loss;
+      bool save;
     };
+    const Resources need = needs_of(job.spec);
+    const Resources limit_need{need.cpus, need.gpus, 0};
+    Resources room = coming(slot);
+    Resources quota = left;
     std::vector<Victim> able;
-    for (const auto& id : slot.machine->tasks) {
+    const auto consider = [&](const TaskId& id) {
       const Job* other = ledger_.job(id.job);
-      if (other == nullptr || other->spec.priority <= job.spec.priority) continue;
-      if (other->spec.gang && other->spec.tasks > 1) continue;
+      if (other == nullptr || other->spec.priority <= job.spec.priority) return;
+      if (other->spec.gang && other->spec.tasks > 1) return;
       const Placement& p = other->live.at(id.task);
-      if (p.stopping || p.stage != Placement::Stage::held || stopped_.contains(id)) continue;
-      if (p.state == TaskState::saving) continue;
-      if (over_limit && other->spec.team != job.spec.team) continue;
-      // What is lost: the time to save, or all that was done if it never saves.
+      if (p.stopping || p.stage != Placement::Stage::held || stopped_.contains(id)) return;
+      if (p.state == TaskState::saving) return;
+      // What is lost: the time to save, or all since the last checkpoint.
       const Seconds ran = p.running_since < 0 ? 0 : now_ - p.running_since;
-      able.push_back({other, &p, other->spec.checkpoint_s > 0 ? other->spec.save_s : ran});
+      const Seconds since =
+          other->spec.checkpoint_s > 0 ? std::fmod(ran, other->spec.checkpoint_s) : ran;
+      const bool save = other->spec.checkpoint_s > 0 && since > other->spec.save_s &&
+                        !in_a_hurry(job, other->spec.save_s);
+      able.push_back({other, &p, save ? other->spec.save_s : since, save});
+    };
+    if (room.fits(need)) {
+      // Only the limit is in the way: any of the team's tasks will do.
+      for (const auto& [id, other] : ledger_.jobs()) {
+        if (other->spec.team != job.spec.team) continue;
+        for (const auto& [task, placement] : other->live) consider({id, task});
+      }
+    } else {
+      for (const auto& id : slot.machine->tasks) consider(id);
     }
     std::sort(able.begin(), able.end(), [](const Victim& a, const Victim& b) {
       return std::make_tuple(-static_cast<int>(a.job->spec.priority), a.loss, a.job->id(),
@@ -267,17 +291,16 @@
              std::make_tuple(-static_cast<int>(b.job->spec.priority), b.loss, b.job->id(),
                              b.placement->task);
     });
-    const Resources need = needs_of(job.spec);
-    Resources room = slot.room;
-    Resources quota = left;
     for (const Victim& v : able) {
-      if (room.fits(need) && quota.fits({need.cpus, need.gpus, 0})) break;
-      room += needs_of(v.job->spec);
-      if (v.job->spec.team == job.spec.team) quota += needs_of(v.job->spec);
+      if (room.fits(need) && quota.fits(limit_need)) break;
+      const bool same_team = v.job->spec.team == job.spec.team;
+      if (room.fits(need) && !same_team) continue;
+      if (v.placement->machine == slot.machine->name) room += needs_of(v.job->spec);
+      if (same_team) quota += needs_of(v.job->spec);
       loss += v.loss;
-      victims.push_back({v.job->id(), v.placement->task, job.id()});
+      victims.push_back({v.job->id(), v.placement->task, v.save, job.id()});
     }
-    return room.fits(need) && quota.fits({need.cpus, need.gpus, 0});
+    return room.fits(need) && quota.fits(limit_need);
   }
 
   bool allowed(const Job& job, const Slot& slot) const {
--- a/src/coordination/planner.hpp
+++ b/src/coordination/planner.hpp
@@ -52,6 +52,7 @@
 struct Preemption {
   std::string job;
   std::uint32_t task = 0;
+  bool save = false;  // it is given the time to save
   std::string for_job;
 };
 
--- a/tests/planner_test.cpp
+++ b/tests/planner_test.cpp
@@ -217,6 +217,54 @@
   EXPECT_EQ(placed(round(101), "job-1"), 6u);
 }
 
+TEST_F(Planner, UrgentWorkPushesLowerWorkAside) {
+  testing::up(ledger, "i-1", "small");
+  auto& low = testing::add(ledger, testing::spec("job-1", 2));
+  carried_out();
+  for (auto& [task, p] : low.live) {
+    p.stage = Placement::Stage::held;
+    p.state = TaskState::running;
+    p.running_since = 100 - task;
+  }
+  testing::add(ledger, testing::spec("job-2"), 5);
+  EXPECT_TRUE(round(110).preemptions.empty());  // of the same priority
+  auto urgent = testing::spec("job-3");
+  urgent.priority = protocol::Priority::high;
+  testing::add(ledger, urgent, 6);
+  const Plan out = round(110);
+  ASSERT_EQ(out.preemptions.size(), 1u);
+  EXPECT_EQ(out.preemptions[0].for_job, "job-3");
+  EXPECT_EQ(out.preemptions[0].task, 0u);  // has the least to lose
+  // Nothing more is stopped for it while that one is on its way out.
+  low.live.at(0).stopping = true;
+  EXPECT_TRUE(round(111).preemptions.empty());
+}
+
+// Two tasks had to go for one urgent job; what the first left went to lower work at once, which
+// was then stopped in turn, and so on for a minute.
+TEST_F(Planner, WhatIsFreedForUrgentWorkIsNotTakenByLowerWork) {
+  testing::up(ledger, "i-1", "small");
+  auto& low = testing::add(ledger, testing::spec("job-1", 2));
+  carried_out();
+  for (auto& [task, p] : low.live) {
+    p.stage = Placement::Stage::held;
+    p.state = TaskState::running;
+    p.running_since = 100;
+  }
+  testing::add(ledger, testing::spec("job-2"), 5);
+  auto urgent = testing::spec("job-3", 1, 4);
+  urgent.priority = protocol::Priority::high;
+  testing::add(ledger, urgent, 6);
+  ASSERT_EQ(round(110).preemptions.size(), 2u);
+  low.live.at(1).stopping = true;
+  ledger.unplace(low, 0, 111);
+  const Plan out = round(111);
+  EXPECT_TRUE(out.assignments.empty());
+  EXPECT_TRUE(out.preemptions.empty());
+  ledger.unplace(low, 1, 112);
+  EXPECT_EQ(placed(round(112), "job-3"), 1u);
+}
+
 TEST_F(Planner, GoesOnWhereTimeRanOut) {
   testing::up(ledger, "i-1", "large");
   for (int i = 0; i < 4; ++i) testing::add(ledger, testing::spec("job-" + std::to_string(i)), i);
--- a/tests/sim/worker.cpp
+++ b/tests/sim/worker.cpp
@@ -209,9 +209,7 @@
         it->second.state != "running") {
       return;
     }
-    world_.results[key.first.job].insert(key.first.task);
-    world_.checker.completes(key.first);
-    exit(key, "done");
+    world_.complete(key.first, key.second);
   });
 }
 
--- a/tests/sim/world.cpp
+++ b/tests/sim/world.cpp
@@ -313,6 +313,24 @@
   for (const auto& [worker, key] : members) worker->run(key);
 }
 
+// A gang's tasks complete together.
+void World::complete(const TaskId& id, std::uint64_t attempt) {
+  const JobSpec& s = *spec(id.job);
+  for (std::uint32_t task = 0; task < s.tasks; ++task) {
+    if (!s.gang && task != id.task) continue;
+    results[id.job].insert(task);
+    checker.completes({id.job, task});
+  }
+  for (const auto& worker : workers) {
+    if (worker->gone) continue;
+    const auto tasks = worker->tasks_;
+    for (const auto& [key, task] : tasks) {
+      const bool same = s.gang ? key.first.job == id.job : key.first == id;
+      if (same && key.second == attempt && task.state == "running") worker->exit(key, "done");
+    }
+  }
+}
+
 void World::gang_lost(const std::string& job, std::uint64_t attempt) {
   if (!spec(job)->gang || spec(job)->tasks == 1) return;
   events.at(events.now() + settings.gang_peer_s * chance(), [this, job, attempt] {
--- a/tests/sim/world.hpp
+++ b/tests/sim/world.hpp
@@ -196,6 +196,7 @@
   void user_submits(const JobSpec& spec, int tries);
   void user_polls(const std::string& id);
   void user_cancels(const std::string& id, int tries);
+  void complete(const TaskId& id, std::uint64_t attempt);
   void gang_ready(const std::string& job, std::uint64_t attempt);
   void gang_lost(const std::string& job, std::uint64_t attempt);
 
