--- a/src/coordination/fleet.cpp
+++ b/src/coordination/fleet.cpp
@@ -15,8 +15,6 @@
 constexpr Seconds kShortestRental = 60;
 // An idle machine is kept for this many times what it takes to boot another.
 constexpr double kIdlePatience = 1;
-// A machine is dear beside one whose price is this part of its own.
-constexpr double kDear = 3;
 
 struct Space {
   const MachineType* type;
@@ -25,7 +23,6 @@
   Resources room;
   const Machine* machine = nullptr;  // null: on order
   bool wanted = false;               // something is, or may soon be, placed here
-  bool claimed = false;              // this round's demand counts on room here
 };
 
 double hourly(const MachineType& type, bool spot) { return spot ? type.spot_price : type.price; }
@@ -70,7 +67,6 @@
     for (const auto& [market, count] : rent_) {
       if (count > 0) out.rent.push_back({market, count});
     }
-    retire(out);
     give_back(out);
     return out;
   }
@@ -143,7 +139,7 @@
         space.room -= need;
         taken_[spec.team] += need;
       }
-      if (fit > 0) space.wanted = space.claimed = true;
+      if (fit > 0) space.wanted = true;
       count -= fit;
       if (!zones.empty()) zones[space.zone] -= fit;
     };
@@ -179,53 +175,6 @@
     }
   }
 
-  // Machines in use whose work would fit into the room that cheaper ones have to spare: nothing
-  // more is placed on them, so that they run empty and can be returned.
-  void retire(FleetPlan& out) {
-    std::vector<Space*> candidates;
-    for (Space& space : spaces_) {
-      if (space.machine != nullptr && space.machine->heard && !space.claimed &&
-          !space.machine->tasks.empty()) {
-        candidates.push_back(&space);
-      }
-    }
-    std::stable_sort(candidates.begin(), candidates.end(), [](const Space* a, const Space* b) {
-      return hourly(*a->type, a->spot) > hourly(*b->type, b->spot);
-    });
-    for (Space* candidate : candidates) {
-      const double price = hourly(*candidate->type, candidate->spot);
-      std::vector<std::pair<Space*, Resources>> moves;
-      bool fits = true;
-      for (const auto& id : candidate->machine->tasks) {
-        const Job* job = ledger_.job(id.job);
-        if (job == nullptr) continue;
-        const Resources need = needs_of(job->spec);
-        Space* to = nullptr;
-        for (Space& space : spaces_) {
-          if (&space == candidate || !space.wanted || space.machine == nullptr ||
-              !space.machine->heard || hourly(*space.type, space.spot) * kDear > price) {
-            continue;
-          }
-          if (!allows(job->spec, *space.type, space.zone, space.spot)) continue;
-          if (!space.room.fits(need)) continue;
-          to = &space;
-          break;
-        }
-        if (to == nullptr) {
-          fits = false;
-          break;
-        }
-        to->room -= need;
-        moves.emplace_back(to, need);
-      }
-      if (fits) {
-        out.retire.push_back(candidate->machine->name);
-      } else {
-        for (auto& [space, need] : moves) space->room += need;
-      }
-    }
-  }
-
   void give_back(FleetPlan& out) const {
     std::set<std::string> wanted;
     for (const Space& space : spaces_) {
--- a/src/coordination/fleet.hpp
+++ b/src/coordination/fleet.hpp
@@ -42,7 +42,6 @@
 struct FleetPlan {
   std::vector<Rent> rent;
   std::vector<std::string> give_back;
-  std::vector<std::string> retire;  // to run empty
 };
 
 // `pending`: machines asked for without an answer so far.
--- a/src/coordination/leader.cpp
+++ b/src/coordination/leader.cpp
@@ -981,8 +981,6 @@
   // Until the machines of an earlier leader have had time to report, what is there is not known.
   if (!listed_once_ || clock_.now() - ready_at_ < settings_.report_s * 1.5) return;
   const FleetPlan decided = plan_fleet(ledger_, refusals_, pending_rentals_, clock_.now());
-  for (auto& [name, machine] : ledger_.machines()) machine.retiring = false;
-  for (const auto& name : decided.retire) ledger_.machine(name).retiring = true;
   for (const auto& wanted : decided.rent) rent(wanted.market, wanted.count);
   if (!decided.give_back.empty()) give_back(decided.give_back);
 }
--- a/src/coordination/ledger.hpp
+++ b/src/coordination/ledger.hpp
@@ -128,8 +128,7 @@
   std::optional<Seconds> taken_at;  // from the spot notice
   bool silent = false;              // its lease has run out unanswered; it must report anew
   bool returning = false;
-  bool suspect = false;   // every task fails on it
-  bool retiring = false;  // it is to run empty: used only for what fits nowhere else
+  bool suspect = false;  // every task fails on it
   int failures = 0;
   Seconds refused_until = 0;  // it said `full`: its room is not what it seems
   Seconds idle_since = 0;
--- a/src/coordination/planner.cpp
+++ b/src/coordination/planner.cpp
@@ -356,11 +356,9 @@
         if (!allowed(job, slot)) continue;
         const double lost = displaced(job, slot);
         if (lost < 0) continue;
-        if (best != nullptr && slot.machine->retiring && !best->machine->retiring) continue;
         const double c =
             cost(job, slot, ledger_) + kind_cost(job, slot) + lost * ledger_.settings().report_s * kDisplacedReports;
-        const bool instead = best != nullptr && best->machine->retiring && !slot.machine->retiring;
-        if (best == nullptr || instead || c < best_cost) {
+        if (best == nullptr || c < best_cost) {
           best = &slot;
           best_cost = c;
         }
