--- a/src/coordination/planner.cpp
+++ b/src/coordination/planner.cpp
@@ -171,9 +171,19 @@
     slot.room -= needs_of(job.spec);
   }
 
+  bool pressed(const Job& job) const {
+    const Seconds run = ledger_.expected_run(job.spec);
+    for (const Seconds due : due_times(ledger_, job)) {
+      if (due - run > now_) return now_ - job.submitted > (due - run - job.submitted) / 2;
+    }
+    return false;
+  }
+
   void unplaced(const Job& job, Plan& out) {
-    // Only urgent work pushes other work aside, and one task of a job in a round.
-    if (job.spec.priority >= protocol::Priority::normal) return;
+    // One task of a job in a round. Work that is not urgent first gives room half the time that
+    // its next aim leaves to come free by itself.
+    if (job.spec.priority >= protocol::Priority::low) return;
+    if (job.spec.priority == protocol::Priority::normal && !pressed(job)) return;
     if (job.spec.gang && job.waiting() > 1) return;
     preempt_for(job, out);
   }
