--- a/src/coordination/election.cpp
+++ b/src/coordination/election.cpp
@@ -87,8 +87,7 @@
   leader_mark_ = mark;
   leader_ = protocol::text(data, "member");
   if (token_ != 0) {
-    const bool mine = leader_ == settings_.member &&
-                      protocol::integer(data, "lease") == lease_;
+    const bool mine = leader_ == settings_.member && protocol::integer(data, "lease") == lease_;
     if (!mine && mark > token_) lose("a newer leader holds the key: " + leader_);
     return;
   }
@@ -123,9 +122,8 @@
 void Election::write_key(std::uint64_t replaced_mark) {
   storage::Transaction txn;
   txn.guards.push_back({storage::kLeaderKey, replaced_mark});
-  txn.writes.push_back({storage::kLeaderKey,
-                        {{"member", settings_.member}, {"lease", lease_}},
-                        lease_});
+  txn.writes.push_back(
+      {storage::kLeaderKey, {{"member", settings_.member}, {"lease", lease_}}, lease_});
   const auto wanted = [this] { return clock_.now() < grant_sent_ + life_; };
   state_.settle(std::move(txn), wanted, [this](storage::CommitReply reply) {
     campaigning_ = false;
@@ -184,22 +182,23 @@
   if (confirming_) return;
   confirming_ = true;
   const Seconds sent = clock_.now();
-  state_.get(storage::kLeaderKey, [this, sent, epoch = epoch_](Status status,
-                                                               storage::Entry entry) {
-    confirming_ = false;
-    if (epoch != epoch_ || token_ == 0) return;
-    if (status == Status::ok && entry.mark == token_) {
-      // The read proves the key was there after `sent`, and the lease was renewed before it.
-      state_.extend(lease_, [this, sent, epoch](Status renewed) {
-        if (epoch != epoch_ || token_ == 0 || renewed != Status::ok) return;
-        spdlog::info("leads again with token {}", token_);
-        renewed_at_ = std::max(renewed_at_, sent);
-      });
-    } else if (status == Status::ok || status == Status::missing) {
-      lose("the key is no longer its own");
-      if (status == Status::missing) campaign(0);
-    }
-  });
+  state_.get(storage::kLeaderKey,
+             [this, sent, epoch = epoch_](Status status, storage::Entry entry) {
+               confirming_ = false;
+               if (epoch != epoch_ || token_ == 0) return;
+               if (status == Status::ok && entry.mark == token_) {
+                 // The read proves the key was there after `sent`, and the lease was renewed before
+                 // it.
+                 state_.extend(lease_, [this, sent, epoch](Status renewed) {
+                   if (epoch != epoch_ || token_ == 0 || renewed != Status::ok) return;
+                   spdlog::info("leads again with token {}", token_);
+                   renewed_at_ = std::max(renewed_at_, sent);
+                 });
+               } else if (status == Status::ok || status == Status::missing) {
+                 lose("the key is no longer its own");
+                 if (status == Status::missing) campaign(0);
+               }
+             });
 }
 
 void Election::lose(const std::string& why) {
--- a/src/coordination/fleet.cpp
+++ b/src/coordination/fleet.cpp
@@ -29,8 +29,7 @@
 
 class Round {
  public:
-  Round(Ledger& ledger, const Refusals& refusals, const std::map<Market, int>& pending,
-        Seconds now)
+  Round(Ledger& ledger, const Refusals& refusals, const std::map<Market, int>& pending, Seconds now)
       : ledger_(ledger), refusals_(refusals), now_(now) {
     // Room that is there or on its way.
     for (const auto& [name, machine] : ledger.machines()) {
@@ -40,8 +39,8 @@
         continue;
       }
       if (!machine.heard && now - machine.rented_at > kBootPatience * type->boot_s) continue;
-      spaces_.push_back({type, machine.zone, machine.spot, machine.room(), &machine,
-                         !machine.tasks.empty()});
+      spaces_.push_back(
+          {type, machine.zone, machine.spot, machine.room(), &machine, !machine.tasks.empty()});
     }
     // What is in use is filled up first, so that what is idle shows; then the cheap.
     std::stable_sort(spaces_.begin(), spaces_.end(), [](const Space& a, const Space& b) {
@@ -133,8 +132,7 @@
     count = std::min(count, left.times({spec.cpus, spec.gpus, 0}));
     const Resources need = needs_of(spec);
     const auto take = [&](Space& space) {
-      const std::uint32_t fit =
-          std::min({count, space.room.times(need), zone_left(space.zone)});
+      const std::uint32_t fit = std::min({count, space.room.times(need), zone_left(space.zone)});
       for (std::uint32_t i = 0; i < fit; ++i) {
         space.room -= need;
         taken_[spec.team] += need;
@@ -217,8 +215,7 @@
 void Refusals::refused(const Market& market, Seconds now, Seconds first_pause,
                        Seconds longest_pause) {
   Pause& pause = pauses_[market];
-  pause.length =
-      pause.length == 0 ? first_pause : std::min(pause.length * 2, longest_pause);
+  pause.length = pause.length == 0 ? first_pause : std::min(pause.length * 2, longest_pause);
   pause.until = now + pause.length;
 }
 
@@ -227,8 +224,8 @@
   return it == pauses_.end() || now >= it->second.until;
 }
 
-FleetPlan plan_fleet(Ledger& ledger, const Refusals& refusals,
-                     const std::map<Market, int>& pending, Seconds now) {
+FleetPlan plan_fleet(Ledger& ledger, const Refusals& refusals, const std::map<Market, int>& pending,
+                     Seconds now) {
   return Round(ledger, refusals, pending, now).run();
 }
 
--- a/src/coordination/fleet.hpp
+++ b/src/coordination/fleet.hpp
@@ -45,7 +45,7 @@
 };
 
 // `pending`: machines asked for without an answer so far.
-FleetPlan plan_fleet(Ledger& ledger, const Refusals& refusals,
-                     const std::map<Market, int>& pending, Seconds now);
+FleetPlan plan_fleet(Ledger& ledger, const Refusals& refusals, const std::map<Market, int>& pending,
+                     Seconds now);
 
 }  // namespace larkroad::coordination
--- a/src/coordination/front.cpp
+++ b/src/coordination/front.cpp
@@ -57,18 +57,23 @@
     case protocol::UserCall::health:
       respond({healthy() ? 200 : 503, "{}", 0});
       return;
-    case protocol::UserCall::submit: submit(request.body, std::move(respond)); return;
-    case protocol::UserCall::query: query(target.id, std::move(respond)); return;
+    case protocol::UserCall::submit:
+      submit(request.body, std::move(respond));
+      return;
+    case protocol::UserCall::query:
+      query(target.id, std::move(respond));
+      return;
     case protocol::UserCall::cancel:
       cancel(target.id, clock_.now() + kAnswerWithin, std::move(respond));
       return;
-    case protocol::UserCall::none: break;
+    case protocol::UserCall::none:
+      break;
   }
 }
 
 void Front::busy(const Respond& respond) {
-  respond({503, protocol::encode_error("the state service cannot be asked at present"),
-           kRetryAfter});
+  respond(
+      {503, protocol::encode_error("the state service cannot be asked at present"), kRetryAfter});
 }
 
 void Front::remember(const std::string& id, const storage::FinishedRecord& record) {
--- a/src/coordination/leader.cpp
+++ b/src/coordination/leader.cpp
@@ -92,59 +92,60 @@
 
 void Leader::load_jobs(const std::string& after) {
   state_.list(storage::kJobPrefix, after, guarded([this, after](storage::ListReply reply) {
-    if (reply.status != Status::ok) {
-      later(settings_.report_s * kTickRatio, [this, after] { load_jobs(after); });
-      return;
-    }
-    // Changes since the first page are in the watch.
-    if (watched_to_ == 0) watched_to_ = reply.revision;
-    for (const auto& entry : reply.entries) {
-      apply_job(entry.key.substr(std::string(storage::kJobPrefix).size()), entry.data,
-                entry.mark);
-    }
-    if (reply.more && !reply.entries.empty()) {
-      load_jobs(reply.entries.back().key);
-    } else {
-      load_placements("");
-    }
-  }));
+                if (reply.status != Status::ok) {
+                  later(settings_.report_s * kTickRatio, [this, after] { load_jobs(after); });
+                  return;
+                }
+                // Changes since the first page are in the watch.
+                if (watched_to_ == 0) watched_to_ = reply.revision;
+                for (const auto& entry : reply.entries) {
+                  apply_job(entry.key.substr(std::string(storage::kJobPrefix).size()), entry.data,
+                            entry.mark);
+                }
+                if (reply.more && !reply.entries.empty()) {
+                  load_jobs(reply.entries.back().key);
+                } else {
+                  load_placements("");
+                }
+              }));
 }
 
 void Leader::load_placements(const std::string& after) {
   state_.list(storage::kPlacementPrefix, after, guarded([this, after](storage::ListReply reply) {
-    if (reply.status != Status::ok) {
-      later(settings_.report_s * kTickRatio, [this, after] { load_placements(after); });
-      return;
-    }
-    for (auto& entry : reply.entries) loaded_placements_.push_back(std::move(entry));
-    if (reply.more && !reply.entries.empty()) {
-      load_placements(loaded_placements_.back().key);
-    } else {
-      load_images("");
-    }
-  }));
+                if (reply.status != Status::ok) {
+                  later(settings_.report_s * kTickRatio, [this, after] { load_placements(after); });
+                  return;
+                }
+                for (auto& entry : reply.entries) loaded_placements_.push_back(std::move(entry));
+                if (reply.more && !reply.entries.empty()) {
+                  load_placements(loaded_placements_.back().key);
+                } else {
+                  load_images("");
+                }
+              }));
 }
 
 void Leader::load_images(const std::string& after) {
   state_.list(storage::kMachinePrefix, after, guarded([this, after](storage::ListReply reply) {
-    if (reply.status != Status::ok) {
-      later(settings_.report_s * kTickRatio, [this, after] { load_images(after); });
-      return;
-    }
-    for (const auto& entry : reply.entries) {
-      const std::string name = entry.key.substr(std::string(storage::kMachinePrefix).size());
-      try {
-        loaded_images_[name] = storage::decode_images(entry.data);
-      } catch (const std::exception& error) {
-        spdlog::error("record {}: {}", entry.key, error.what());
-      }
-    }
-    if (reply.more && !reply.entries.empty()) {
-      load_images(reply.entries.back().key);
-    } else {
-      loaded();
-    }
-  }));
+                if (reply.status != Status::ok) {
+                  later(settings_.report_s * kTickRatio, [this, after] { load_images(after); });
+                  return;
+                }
+                for (const auto& entry : reply.entries) {
+                  const std::string name =
+                      entry.key.substr(std::string(storage::kMachinePrefix).size());
+                  try {
+                    loaded_images_[name] = storage::decode_images(entry.data);
+                  } catch (const std::exception& error) {
+                    spdlog::error("record {}: {}", entry.key, error.what());
+                  }
+                }
+                if (reply.more && !reply.entries.empty()) {
+                  load_images(reply.entries.back().key);
+                } else {
+                  loaded();
+                }
+              }));
 }
 
 void Leader::loaded() {
@@ -249,18 +250,18 @@
 
 void Leader::refresh_job(const std::string& id) {
   state_.get(storage::job_key(id), guarded([this, id](Status status, storage::Entry entry) {
-    if (status == Status::ok) {
-      apply_job(id, entry.data, entry.mark);
-      if (Job* job = ledger_.job(id)) {
-        job->busy = false;
-        sync(*job);
-      }
-    } else if (status == Status::missing) {
-      election_.resign("the record of " + id + " is gone");
-    } else {
-      later(settings_.report_s * kTickRatio, [this, id] { refresh_job(id); });
-    }
-  }));
+               if (status == Status::ok) {
+                 apply_job(id, entry.data, entry.mark);
+                 if (Job* job = ledger_.job(id)) {
+                   job->busy = false;
+                   sync(*job);
+                 }
+               } else if (status == Status::missing) {
+                 election_.resign("the record of " + id + " is gone");
+               } else {
+                 later(settings_.report_s * kTickRatio, [this, id] { refresh_job(id); });
+               }
+             }));
 }
 
 // ---------------------------------------------------------------- jobs and their records
@@ -326,11 +327,11 @@
   }
   if (chunks.empty()) return;
   job.busy = true;
-  state_.settle(std::move(txn), [this, epoch = epoch_] { return epoch == epoch_; },
-                guarded([this, id = job.id(), chunks, recorded, done](
-                            const storage::CommitReply& reply) {
-                  synced(id, chunks, recorded, done, reply);
-                }));
+  state_.settle(
+      std::move(txn), [this, epoch = epoch_] { return epoch == epoch_; },
+      guarded([this, id = job.id(), chunks, recorded, done](const storage::CommitReply& reply) {
+        synced(id, chunks, recorded, done, reply);
+      }));
 }
 
 void Leader::synced(const std::string& id, const std::vector<std::uint32_t>& chunks,
@@ -401,9 +402,9 @@
   txn.guards.push_back({storage::job_key(job.id()), job.mark});
   // A cancelled job stays cancelled, even if its last task was done before it could be stopped:
   // its user has been told.
-  txn.writes.push_back(
-      {storage::finished_key(job.id()),
-       storage::encode(storage::FinishedRecord{job.cancelled, job.spec.tasks}), std::nullopt});
+  txn.writes.push_back({storage::finished_key(job.id()),
+                        storage::encode(storage::FinishedRecord{job.cancelled, job.spec.tasks}),
+                        std::nullopt});
   txn.drops.push_back(storage::job_key(job.id()));
   std::vector<std::string> rest;
   for (const auto& [number, chunk] : job.chunks) {
@@ -452,11 +453,12 @@
     garbage_.pop_back();
   }
   state_.commit(txn, guarded([this, keys = txn.drops](const storage::CommitReply& reply) {
-    dropping_ = false;
-    if (reply.status != Status::ok) garbage_.insert(garbage_.end(), keys.begin(), keys.end());
-    // What is left of jobs that are over has no hurry.
-    if (!garbage_.empty()) later(settings_.report_s, [this] { drop_garbage(); });
-  }));
+                  dropping_ = false;
+                  if (reply.status != Status::ok)
+                    garbage_.insert(garbage_.end(), keys.begin(), keys.end());
+                  // What is left of jobs that are over has no hurry.
+                  if (!garbage_.empty()) later(settings_.report_s, [this] { drop_garbage(); });
+                }));
 }
 
 // What machines hold outlives a leader only for the sake of speed: it is written when nothing
@@ -476,8 +478,7 @@
     std::sort(by_use.begin(), by_use.end());
     storage::Images images;
     for (auto& [used, image] : by_use) images.push_back(std::move(image));
-    while (images.size() > 1 &&
-           storage::encode(images).dump().size() > settings_.value_kb * 1024) {
+    while (images.size() > 1 && storage::encode(images).dump().size() > settings_.value_kb * 1024) {
       images.erase(images.begin());
     }
     machine.images_changed = false;
@@ -487,12 +488,13 @@
   if (names.empty()) return;
   recording_images_ = true;
   state_.commit(txn, guarded([this, names](const storage::CommitReply& reply) {
-    recording_images_ = false;
-    if (reply.status == Status::ok) return;
-    for (const auto& name : names) {
-      if (Machine* machine = ledger_.find_machine(name)) machine->images_changed = true;
-    }
-  }));
+                  recording_images_ = false;
+                  if (reply.status == Status::ok) return;
+                  for (const auto& name : names) {
+                    if (Machine* machine = ledger_.find_machine(name))
+                      machine->images_changed = true;
+                  }
+                }));
 }
 
 void Leader::gone(Job& job, std::uint32_t task, const std::string& why) {
@@ -554,7 +556,6 @@
   if (report.session > machine.session) end_sessions(machine, report.session);
   if (!machine.heard) {
     machine.heard = true;
-    machine.up_since = now;
     machine.idle_since = now;
     if (machine.rented_at == 0) machine.rented_at = now;
     if (const auto it = loaded_images_.find(report.machine); it != loaded_images_.end()) {
@@ -684,8 +685,8 @@
   spdlog::info("task {} attempt {} on {} exited: {}{}", task.id.text(), task.attempt, machine.name,
                protocol::cause_name(task.cause), task.saved ? ", saved" : "");
   const Seconds pause =
-      settings_.report_s * std::min(kPauseReports * (1 << std::min(job.failures, 4)),
-                                    kLongestPauseReports);
+      settings_.report_s *
+      std::min(kPauseReports * (1 << std::min(job.failures, 4)), kLongestPauseReports);
   switch (task.cause) {
     case ExitCause::done:
       machine.failures = 0;
@@ -757,8 +758,7 @@
   Machine* machine = ledger_.find_machine(placement.machine);
   if (machine == nullptr || machine->address.empty()) return;
   placement.stop_sent = now;
-  direct(placement.machine,
-         {{Op::kill, {job.id(), placement.task}, placement.attempt, grace_s}});
+  direct(placement.machine, {{Op::kill, {job.id(), placement.task}, placement.attempt, grace_s}});
 }
 
 // Long enough to save, with a report's worth to spare for a slow machine.
@@ -777,8 +777,7 @@
     }
     placement.stage = Placement::Stage::launched;
     machine->doubts[{{job.id(), task}, placement.attempt}] = {election_.token(), true};
-    by_machine[placement.machine].push_back(
-        {Op::launch, {job.id(), task}, placement.attempt, 0});
+    by_machine[placement.machine].push_back({Op::launch, {job.id(), task}, placement.attempt, 0});
   }
   for (auto& [machine, commands] : by_machine) direct(machine, std::move(commands));
 }
@@ -1024,8 +1023,7 @@
             ledger_.set_type(machine, request.type);
           }
           if (static_cast<int>(names.size()) < request.count) {
-            refusals_.refused(market, clock_.now(), settings_.list_lag_s,
-                              settings_.list_lag_s * 8);
+            refusals_.refused(market, clock_.now(), settings_.list_lag_s, settings_.list_lag_s * 8);
           } else {
             refusals_.granted(market);
           }
@@ -1081,60 +1079,60 @@
 }
 
 void Leader::list_page(const std::string& after, Seconds begun) {
-  client_.call(
-      settings_.cloud.text(), {"GET", protocol::list_target(after), ""}, kCloudTimeout,
-      guarded([this, begun](transport::Outcome outcome, transport::Response response) {
-        if (outcome != transport::Outcome::answered || response.status != 200) {
-          listing_ = false;
-          return;
-        }
-        try {
-          const auto page = protocol::parse_machine_page(response.body);
-          const Seconds now = clock_.now();
-          std::vector<std::string> failed;
-          for (const auto& listed : page.machines) {
-            if (gone_machines_.contains(listed.name)) continue;
-            Machine& machine = ledger_.machine(listed.name);
-            machine.listed_at = begun;
-            if (machine.rented_at == 0) machine.rented_at = now - listed.age_s;
-            if (machine.type.empty()) {
-              machine.zone = listed.zone;
-              machine.spot = listed.spot;
-              ledger_.set_type(machine, listed.type);
-            }
-            if (machine.address.empty()) machine.address = listed.address;
-            if (listed.state == protocol::ListedState::failed) {
-              failed.push_back(listed.name);
-            } else if (listed.state == protocol::ListedState::running && !machine.heard &&
-                       !machine.address.empty()) {
-              inspect(machine);
-            }
-          }
-          for (const auto& name : failed) {
-            // It stopped on its own, and all that was on it; it stays listed until it is deleted.
-            Machine* machine = ledger_.find_machine(name);
-            if (machine == nullptr || machine->returning) continue;
-            const auto tasks = machine->tasks;
-            for (const auto& id : tasks) {
-              Job* job = ledger_.job(id.job);
-              if (job != nullptr && job->live.contains(id.task)) {
-                gone(*job, id.task, "machine " + name + " has failed");
-              }
-            }
-            give_back({name});
-          }
-          if (page.more && !page.machines.empty()) {
-            list_page(page.machines.back().name, begun);
-            return;
-          }
-        } catch (const std::exception& error) {
-          spdlog::error("cloud: {}", error.what());
-          listing_ = false;
-          return;
-        }
-        listing_ = false;
-        listed(begun);
-      }));
+  client_.call(settings_.cloud.text(), {"GET", protocol::list_target(after), ""}, kCloudTimeout,
+               guarded([this, begun](transport::Outcome outcome, transport::Response response) {
+                 if (outcome != transport::Outcome::answered || response.status != 200) {
+                   listing_ = false;
+                   return;
+                 }
+                 try {
+                   const auto page = protocol::parse_machine_page(response.body);
+                   const Seconds now = clock_.now();
+                   std::vector<std::string> failed;
+                   for (const auto& listed : page.machines) {
+                     if (gone_machines_.contains(listed.name)) continue;
+                     Machine& machine = ledger_.machine(listed.name);
+                     machine.listed_at = begun;
+                     if (machine.rented_at == 0) machine.rented_at = now - listed.age_s;
+                     if (machine.type.empty()) {
+                       machine.zone = listed.zone;
+                       machine.spot = listed.spot;
+                       ledger_.set_type(machine, listed.type);
+                     }
+                     if (machine.address.empty()) machine.address = listed.address;
+                     if (listed.state == protocol::ListedState::failed) {
+                       failed.push_back(listed.name);
+                     } else if (listed.state == protocol::ListedState::running && !machine.heard &&
+                                !machine.address.empty()) {
+                       inspect(machine);
+                     }
+                   }
+                   for (const auto& name : failed) {
+                     // It stopped on its own, and all that was on it; it stays listed until it is
+                     // deleted.
+                     Machine* machine = ledger_.find_machine(name);
+                     if (machine == nullptr || machine->returning) continue;
+                     const auto tasks = machine->tasks;
+                     for (const auto& id : tasks) {
+                       Job* job = ledger_.job(id.job);
+                       if (job != nullptr && job->live.contains(id.task)) {
+                         gone(*job, id.task, "machine " + name + " has failed");
+                       }
+                     }
+                     give_back({name});
+                   }
+                   if (page.more && !page.machines.empty()) {
+                     list_page(page.machines.back().name, begun);
+                     return;
+                   }
+                 } catch (const std::exception& error) {
+                   spdlog::error("cloud: {}", error.what());
+                   listing_ = false;
+                   return;
+                 }
+                 listing_ = false;
+                 listed(begun);
+               }));
 }
 
 void Leader::listed(Seconds begun) {
--- a/src/coordination/ledger.cpp
+++ b/src/coordination/ledger.cpp
@@ -82,10 +82,9 @@
   double total = 0;
   for (const auto& [name, entry] : images) total += entry.first;
   while (total > cache_gb && images.size() > 1) {
-    const auto oldest =
-        std::min_element(images.begin(), images.end(), [](const auto& a, const auto& b) {
-          return a.second.second < b.second.second;
-        });
+    const auto oldest = std::min_element(
+        images.begin(), images.end(),
+        [](const auto& a, const auto& b) { return a.second.second < b.second.second; });
     if (oldest->first == image) break;
     total -= oldest->second.first;
     images.erase(oldest);
@@ -98,8 +97,7 @@
   used_.clear();
 }
 
-Job& Ledger::add_job(const std::string& id, const storage::JobRecord& record,
-                     std::uint64_t mark) {
+Job& Ledger::add_job(const std::string& id, const storage::JobRecord& record, std::uint64_t mark) {
   auto job = std::make_unique<Job>();
   job->spec = record.spec;
   job->mark = mark;
@@ -178,8 +176,7 @@
     }
   }
   for (auto p = job.live.lower_bound(first); p != job.live.end() && p->first < end; ++p) {
-    record.placed.push_back(
-        {p->first, p->second.attempt, p->second.machine, p->second.session});
+    record.placed.push_back({p->first, p->second.attempt, p->second.machine, p->second.session});
   }
   return record;
 }
@@ -264,18 +261,6 @@
   return it == used_.end() ? Resources{} : it->second;
 }
 
-std::uint32_t Ledger::quota_room(const JobSpec& spec) const {
-  const TeamSettings* team = settings_.team(spec.team);
-  if (team == nullptr) return 0;
-  const Resources used = used_by(spec.team);
-  Resources left{team->cpus_max - used.cpus, team->gpus_max - used.gpus, 1e12};
-  return left.times({spec.cpus, spec.gpus, 0});
-}
-
-bool Ledger::within_quota(const JobSpec& spec, std::uint32_t more) const {
-  return quota_room(spec) >= more;
-}
-
 Seconds Ledger::expected_run(const JobSpec& spec) const {
   const auto it = classes_.find(spec.job_class);
   return spec.estimate_s * (it == classes_.end() ? 1 : it->second.run_ratio);
--- a/src/coordination/ledger.hpp
+++ b/src/coordination/ledger.hpp
@@ -82,8 +82,8 @@
   std::uint32_t done_count = 0;
   std::set<std::uint32_t> unrecorded_done;  // done, though not yet durably so
   std::map<std::uint32_t, Placement> live;
-  std::uint32_t next_fresh = 0;        // tasks from here on have never been placed
-  std::set<std::uint32_t> returned;    // placed before, now to be placed again
+  std::uint32_t next_fresh = 0;      // tasks from here on have never been placed
+  std::set<std::uint32_t> returned;  // placed before, now to be placed again
   std::map<std::uint32_t, Chunk> chunks;
   bool busy = false;  // a transaction on its records is under way
 
@@ -98,9 +98,9 @@
 
   const std::string& id() const { return spec.id; }
   std::uint32_t chunk_of(std::uint32_t task) const { return task / chunk_tasks; }
-  std::uint32_t waiting() const;   // tasks that want a place
-  bool over() const;               // nothing is left to run or to stop
-  std::uint32_t running() const;   // for display
+  std::uint32_t waiting() const;  // tasks that want a place
+  bool over() const;              // nothing is left to run or to stop
+  std::uint32_t running() const;  // for display
 };
 
 // A direct launch that may still be carried out, late: until its answer, until the worker has seen
@@ -121,7 +121,6 @@
   std::uint64_t tick = 0;
   std::uint64_t token_seen = 0;
   Seconds rented_at = 0;
-  Seconds up_since = -1;
   Seconds heard_at = -1;     // the newest report
   Seconds answered_at = -1;  // the last 200 that any leader may have given it
   Seconds listed_at = -1;
@@ -137,7 +136,7 @@
   std::set<TaskId> tasks;
   std::map<std::pair<TaskId, std::uint64_t>, Doubt> doubts;  // by task and attempt
   std::map<std::string, std::pair<double, Seconds>> images;  // size and last use, as guessed
-  bool images_changed = false;  // since they were recorded
+  bool images_changed = false;                               // since they were recorded
 
   Resources room() const;
   bool usable(Seconds now) const;
@@ -147,12 +146,12 @@
 // What the jobs of a class have been like, with the latest counting most.
 struct ClassPicture {
   JobSpec latest;
-  double tasks = 0;       // arrived, each weighted down with its age
-  double squares = 0;     // the same of the squared sizes of the jobs, for their spread
+  double tasks = 0;    // arrived, each weighted down with its age
+  double squares = 0;  // the same of the squared sizes of the jobs, for their spread
   std::map<std::string, double> by_team;  // the same of the tasks of each team
   Seconds counted_at = 0;                 // the time to which all three are weighted
-  double run_ratio = 1;   // run time over the owners' estimates
-  Seconds mean_run = 0;   // of a task; 0: not known yet
+  double run_ratio = 1;                   // run time over the owners' estimates
+  Seconds mean_run = 0;                   // of a task; 0: not known yet
 };
 
 class Ledger {
@@ -190,9 +189,6 @@
 
   // Teams.
   Resources used_by(const std::string& team) const;
-  bool within_quota(const JobSpec& spec, std::uint32_t more) const;
-  // How many more tasks of this job its team's limit allows.
-  std::uint32_t quota_room(const JobSpec& spec) const;
 
   // Machine types.
   void set_types(std::vector<MachineType> types);
--- a/src/coordination/node.cpp
+++ b/src/coordination/node.cpp
@@ -26,14 +26,15 @@
       catalog_(clock, client, state_, settings),
       election_(clock, state_, settings,
                 {[this] {
-                   if (settings_.peers.empty()) state_.set_share(1);
-                   else state_.set_share(kLeaderShare);
+                   if (settings_.peers.empty())
+                     state_.set_share(1);
+                   else
+                     state_.set_share(kLeaderShare);
                    leader_.begin();
                  },
                  [this] {
-                   state_.set_share((1 - kLeaderShare) /
-                                    static_cast<double>(std::max<size_t>(
-                                        1, settings_.node_count() - 1)));
+                   state_.set_share((1 - kLeaderShare) / static_cast<double>(std::max<size_t>(
+                                                             1, settings_.node_count() - 1)));
                    leader_.end();
                  }}),
       front_(clock, state_, catalog_, settings),
@@ -53,9 +54,8 @@
   if (state_.failing_for() < settings_.lease_s * kUnhealthyRatio) return true;
   // No node can be served better elsewhere when the service is down for all.
   const Seconds now = clock_.now();
-  return std::none_of(peer_serves_.begin(), peer_serves_.end(), [&](const auto& peer) {
-    return now - peer.second < settings_.report_s;
-  });
+  return std::none_of(peer_serves_.begin(), peer_serves_.end(),
+                      [&](const auto& peer) { return now - peer.second < settings_.report_s; });
 }
 
 void Node::handle_client(transport::Request request, transport::Respond respond) {
--- a/src/coordination/planner.cpp
+++ b/src/coordination/planner.cpp
@@ -315,8 +315,7 @@
 
   bool allowed(const Job& job, const Slot& slot) const {
     const MachineType* type = ledger_.type(slot.machine->type);
-    return type != nullptr &&
-           allows(job.spec, *type, slot.machine->zone, slot.machine->spot) &&
+    return type != nullptr && allows(job.spec, *type, slot.machine->zone, slot.machine->spot) &&
            slot.room.fits(needs_of(job.spec));
   }
 
@@ -353,8 +352,8 @@
     return job.spec.spot && !slot.machine->spot ? ledger_.settings().report_s : 0;
   }
 
-  Choice choose_in(const Job& job, const std::vector<std::uint32_t>& tasks,
-                   const std::string& zone, std::map<std::string, std::uint32_t> in_zone) {
+  Choice choose_in(const Job& job, const std::vector<std::uint32_t>& tasks, const std::string& zone,
+                   std::map<std::string, std::uint32_t> in_zone) {
     Choice out;
     const std::uint32_t zone_most = (job.spec.tasks + 1) / 2;
     for (const std::uint32_t task : tasks) {
@@ -366,8 +365,8 @@
         if (!allowed(job, slot)) continue;
         const double lost = displaced(job, slot);
         if (lost < 0) continue;
-        const double c =
-            cost(job, slot, ledger_) + kind_cost(job, slot) + lost * ledger_.settings().report_s * kDisplacedReports;
+        const double c = cost(job, slot, ledger_) + kind_cost(job, slot) +
+                         lost * ledger_.settings().report_s * kDisplacedReports;
         if (best == nullptr || c < best_cost) {
           best = &slot;
           best_cost = c;
--- a/src/coordination/triage.cpp
+++ b/src/coordination/triage.cpp
@@ -62,8 +62,8 @@
     load += c->work;
     // Its own last tasks take their time, however much room there is.
     if (now + std::max(load, c->least) <= c->due[c->stage]) continue;
-    const auto largest = std::max_element(
-        kept.begin(), kept.end(), [](const Candidate* a, const Candidate* b) {
+    const auto largest =
+        std::max_element(kept.begin(), kept.end(), [](const Candidate* a, const Candidate* b) {
           return std::tie(a->work, a->job->id()) < std::tie(b->work, b->job->id());
         });
     load -= (*largest)->work;
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -42,7 +42,14 @@
                                 node.handle_peer(std::move(request), std::move(respond));
                               });
   node.start();
-  io.run();
+  while (!io.stopped()) {
+    try {
+      io.run();
+    } catch (const std::exception& error) {
+      // One event that goes wrong must not take the controller down; it is a defect all the same.
+      spdlog::error("unexpected: {}", error.what());
+    }
+  }
   return EXIT_SUCCESS;
 }
 
--- a/src/protocol/jobs.cpp
+++ b/src/protocol/jobs.cpp
@@ -28,10 +28,14 @@
 
 const char* state_name(JobState state) {
   switch (state) {
-    case JobState::queued: return "pending";
-    case JobState::running: return "running";
-    case JobState::done: return "done";
-    case JobState::cancelled: return "withdrawn";
+    case JobState::queued:
+      return "pending";
+    case JobState::running:
+      return "running";
+    case JobState::done:
+      return "done";
+    case JobState::cancelled:
+      return "withdrawn";
   }
   return "pending";
 }
--- a/src/protocol/workers.cpp
+++ b/src/protocol/workers.cpp
@@ -50,12 +50,16 @@
   for (const auto& command : commands) {
     Json call{{"leg", command.id.text()}, {"try", command.attempt}};
     switch (command.op) {
-      case Op::launch: call["call"] = "launch"; break;
+      case Op::launch:
+        call["call"] = "launch";
+        break;
       case Op::kill:
         call["call"] = "kill";
         call["slackS"] = command.grace_s;
         break;
-      case Op::forget: call["call"] = "forget"; break;
+      case Op::forget:
+        call["call"] = "forget";
+        break;
     }
     calls.push_back(std::move(call));
   }
--- a/src/storage/records.hpp
+++ b/src/storage/records.hpp
@@ -46,7 +46,7 @@
   std::uint64_t session = 0;
 };
 struct ChunkRecord {
-  std::uint64_t attempt = 0;  // the highest ever used in this chunk
+  std::uint64_t attempt = 0;                                  // the highest ever used in this chunk
   std::vector<std::pair<std::uint32_t, std::uint32_t>> done;  // ranges, both ends included
   std::vector<PlacedTask> placed;
 };
--- a/src/storage/state_client.cpp
+++ b/src/storage/state_client.cpp
@@ -16,20 +16,26 @@
   if (outcome == transport::Outcome::not_sent) return Status::unavailable;
   if (outcome == transport::Outcome::unknown) return Status::unknown;
   switch (http) {
-    case 200: return Status::ok;
-    case 400: return Status::invalid;
-    case 404: return Status::missing;
-    case 409: return Status::conflict;
-    case 410: return Status::too_old;
+    case 200:
+      return Status::ok;
+    case 400:
+      return Status::invalid;
+    case 404:
+      return Status::missing;
+    case 409:
+      return Status::conflict;
+    case 410:
+      return Status::too_old;
     case 429:
-    case 503: return Status::unavailable;
-    default: return Status::unknown;
+    case 503:
+      return Status::unavailable;
+    default:
+      return Status::unknown;
   }
 }
 
 Entry parse_entry(const Json& json) {
-  return {protocol::text(json, "k"), protocol::need(json, "data"),
-          protocol::integer(json, "mark")};
+  return {protocol::text(json, "k"), protocol::need(json, "data"), protocol::integer(json, "mark")};
 }
 
 }  // namespace
@@ -201,8 +207,8 @@
   }
   for (const auto& key : txn.drops) apply.push_back({{"drop", key}});
   std::string body = Json{{"guards", std::move(guards)}, {"apply", std::move(apply)}}.dump();
-  submit({"POST", "/commit", std::move(body)}, timeout_, static_cast<double>(txn.changes()),
-         urgent, [done = std::move(done)](Status status, transport::Response response) {
+  submit({"POST", "/commit", std::move(body)}, timeout_, static_cast<double>(txn.changes()), urgent,
+         [done = std::move(done)](Status status, transport::Response response) {
            CommitReply reply;
            reply.status = status;
            try {
@@ -228,8 +234,8 @@
 
 void StateClient::settle(Transaction txn, std::function<bool()> wanted,
                          std::function<void(CommitReply)> done) {
-  try_settle(std::make_shared<Settlement>(
-      Settlement{std::move(txn), std::move(wanted), std::move(done)}));
+  try_settle(
+      std::make_shared<Settlement>(Settlement{std::move(txn), std::move(wanted), std::move(done)}));
 }
 
 void StateClient::try_settle(std::shared_ptr<Settlement> job) {
--- a/src/storage/state_client.hpp
+++ b/src/storage/state_client.hpp
@@ -93,8 +93,7 @@
   // Commits until the outcome is certain: a transaction whose answer is lost is sent again as it
   // was, and a guard that then fails is told from the transaction's own effect by reading back its
   // first write. Gives up, with `unknown`, when `wanted` says no more.
-  void settle(Transaction txn, std::function<bool()> wanted,
-              std::function<void(CommitReply)> done);
+  void settle(Transaction txn, std::function<bool()> wanted, std::function<void(CommitReply)> done);
   void grant(Seconds life, std::function<void(Status, std::uint64_t)> done);
   void extend(std::uint64_t lease, std::function<void(Status)> done);
   void release(std::uint64_t lease);
--- a/src/transport/http_client.cpp
+++ b/src/transport/http_client.cpp
@@ -77,20 +77,19 @@
       (*owner_)->clock_.after(0, [me = shared_from_this()] { me->finish(false); });
       return;
     }
-    socket_.async_connect(
-        asio::ip::tcp::endpoint(address, static_cast<unsigned short>(port)),
-        [me = shared_from_this()](const asio::error_code& failed) {
-          if (!me->on_reply_) return;  // timed out meanwhile
-          if (failed) {
-            me->finish(false);
-            return;
-          }
-          asio::error_code ignored;
-          me->socket_.set_option(asio::ip::tcp::no_delay(true), ignored);
-          me->connected_ = true;
-          me->send();
-          me->read();
-        });
+    socket_.async_connect(asio::ip::tcp::endpoint(address, static_cast<unsigned short>(port)),
+                          [me = shared_from_this()](const asio::error_code& failed) {
+                            if (!me->on_reply_) return;  // timed out meanwhile
+                            if (failed) {
+                              me->finish(false);
+                              return;
+                            }
+                            asio::error_code ignored;
+                            me->socket_.set_option(asio::ip::tcp::no_delay(true), ignored);
+                            me->connected_ = true;
+                            me->send();
+                            me->read();
+                          });
   }
 
   void send() {
@@ -104,32 +103,30 @@
   // One read is always under way, so that a connection closed by the other side while it is
   // parked is noticed before it is used again.
   void read() {
-    socket_.async_read_some(
-        asio::buffer(buffer_),
-        [me = shared_from_this()](const asio::error_code& error, size_t size) {
-          if (error || !me->on_reply_) {
-            if (error == asio::error::eof && me->on_reply_) {
-              http_parser_execute(&me->parser_, &kCallbacks, nullptr, 0);
-            }
-            const bool whole = me->on_reply_ && me->complete_;
-            me->close();
-            if (me->on_reply_) me->finish(whole);
-            return;
-          }
-          const size_t used =
-              http_parser_execute(&me->parser_, &kCallbacks, me->buffer_.data(), size);
-          if (!me->complete_ && (used != size || HTTP_PARSER_ERRNO(&me->parser_) != HPE_OK)) {
-            me->close();
-            me->finish(false);
-            return;
-          }
-          if (me->complete_) {
-            if (!http_should_keep_alive(&me->parser_)) me->close();
-            me->finish(true);
-            if (me->dead_) return;
-          }
-          me->read();
-        });
+    socket_.async_read_some(asio::buffer(buffer_), [me = shared_from_this()](
+                                                       const asio::error_code& error, size_t size) {
+      if (error || !me->on_reply_) {
+        if (error == asio::error::eof && me->on_reply_) {
+          http_parser_execute(&me->parser_, &kCallbacks, nullptr, 0);
+        }
+        const bool whole = me->on_reply_ && me->complete_;
+        me->close();
+        if (me->on_reply_) me->finish(whole);
+        return;
+      }
+      const size_t used = http_parser_execute(&me->parser_, &kCallbacks, me->buffer_.data(), size);
+      if (!me->complete_ && (used != size || HTTP_PARSER_ERRNO(&me->parser_) != HPE_OK)) {
+        me->close();
+        me->finish(false);
+        return;
+      }
+      if (me->complete_) {
+        if (!http_should_keep_alive(&me->parser_)) me->close();
+        me->finish(true);
+        if (me->dead_) return;
+      }
+      me->read();
+    });
   }
 
   void finish(bool answered) {
@@ -188,8 +185,7 @@
   bool dead_ = false;
 };
 
-const http_parser_settings HttpClient::Connection::kCallbacks =
-    HttpClient::Connection::callbacks();
+const http_parser_settings HttpClient::Connection::kCallbacks = HttpClient::Connection::callbacks();
 
 HttpClient::HttpClient(asio::io_context& io, Clock& clock, size_t max_sockets)
     : io_(io),
--- a/src/transport/http_server.cpp
+++ b/src/transport/http_server.cpp
@@ -18,18 +18,30 @@
 
 const char* reason(int status) {
   switch (status) {
-    case 200: return "OK";
-    case 201: return "Created";
-    case 400: return "Bad Request";
-    case 404: return "Not Found";
-    case 405: return "Method Not Allowed";
-    case 408: return "Request Timeout";
-    case 413: return "Payload Too Large";
-    case 421: return "Misdirected Request";
-    case 422: return "Unprocessable Entity";
-    case 429: return "Too Many Requests";
-    case 503: return "Service Unavailable";
-    default: return "Status";
+    case 200:
+      return "OK";
+    case 201:
+      return "Created";
+    case 400:
+      return "Bad Request";
+    case 404:
+      return "Not Found";
+    case 405:
+      return "Method Not Allowed";
+    case 408:
+      return "Request Timeout";
+    case 413:
+      return "Payload Too Large";
+    case 421:
+      return "Misdirected Request";
+    case 422:
+      return "Unprocessable Entity";
+    case 429:
+      return "Too Many Requests";
+    case 503:
+      return "Service Unavailable";
+    default:
+      return "Status";
   }
 }
 
@@ -60,21 +72,20 @@
  private:
   void read() {
     arm(begun_ ? kRequestLimit : kIdleLimit);
-    socket_.async_read_some(
-        asio::buffer(buffer_),
-        [me = shared_from_this()](const asio::error_code& error, size_t size) {
-          if (error) return;
-          me->disarm();
-          me->begin_ = 0;
-          me->end_ = size;
-          me->parse();
-        });
+    socket_.async_read_some(asio::buffer(buffer_),
+                            [me = shared_from_this()](const asio::error_code& error, size_t size) {
+                              if (error) return;
+                              me->disarm();
+                              me->begin_ = 0;
+                              me->end_ = size;
+                              me->parse();
+                            });
   }
 
   void parse() {
     while (begin_ < end_) {
-      const size_t used = http_parser_execute(&parser_, &kCallbacks, buffer_.data() + begin_,
-                                              end_ - begin_);
+      const size_t used =
+          http_parser_execute(&parser_, &kCallbacks, buffer_.data() + begin_, end_ - begin_);
       begin_ += used;
       if (complete_) {
         handle();
@@ -223,18 +234,18 @@
 void HttpServer::accept() {
   waiting_ = open_ >= max_connections_;
   if (waiting_) return;  // goes on when a session ends
-  acceptor_.async_accept([this, self = self_](const asio::error_code& error,
-                                              asio::ip::tcp::socket socket) {
-    if (*self == nullptr) return;
-    if (error) {
-      // Out of sockets, most likely: try again shortly rather than spin.
-      spdlog::debug("accept: {}", error.message());
-      clock_.after(0.05, [this] { accept(); });
-      return;
-    }
-    std::make_shared<Session>(self_, std::move(socket))->start();
-    accept();
-  });
+  acceptor_.async_accept(
+      [this, self = self_](const asio::error_code& error, asio::ip::tcp::socket socket) {
+        if (*self == nullptr) return;
+        if (error) {
+          // Out of sockets, most likely: try again shortly rather than spin.
+          spdlog::debug("accept: {}", error.message());
+          clock_.after(0.05, [this] { accept(); });
+          return;
+        }
+        std::make_shared<Session>(self_, std::move(socket))->start();
+        accept();
+      });
 }
 
 }  // namespace larkroad::transport
--- a/tests/codec_test.cpp
+++ b/tests/codec_test.cpp
@@ -65,15 +65,15 @@
     const char* key;
     const char* value;
   } cases[] = {
-      {"ref", "\"000412\""}, {"ref", "\"job-\""},     {"ref", "\"job-12x\""}, {"ref", "12"},
-      {"lane", "\"\""},      {"lane", "7"},           {"crew", "[]"},         {"shape", "\"ring\""},
-      {"rank", "\"high\""},  {"legs", "0"},           {"legs", "-1"},         {"legs", "100001"},
-      {"legs", "4.0"},       {"legs", "\"4\""},       {"cores", "0"},         {"cores", "-2.0"},
-      {"cores", "\"2\""},    {"accelerators", "-1"},  {"memGb", "true"},      {"breeds", "[]"},
-      {"breeds", "[1]"},     {"breeds", "\"gpu\""},   {"yard", "\"\""},       {"yard", "1"},
-      {"samePlace", "1"},    {"apart", "\"no\""},     {"apart", "true"},      {"loaners", "0"},
-      {"cargo", "\"\""},     {"pullGb", "-0.1"},      {"expectS", "\"long\""}, {"waypointS", "-1"},
-      {"stowS", "[]"},       {"dueS", "-5"},          {"dueS", "\"soon\""},
+      {"ref", "\"000412\""}, {"ref", "\"job-\""},    {"ref", "\"job-12x\""},  {"ref", "12"},
+      {"lane", "\"\""},      {"lane", "7"},          {"crew", "[]"},          {"shape", "\"ring\""},
+      {"rank", "\"high\""},  {"legs", "0"},          {"legs", "-1"},          {"legs", "100001"},
+      {"legs", "4.0"},       {"legs", "\"4\""},      {"cores", "0"},          {"cores", "-2.0"},
+      {"cores", "\"2\""},    {"accelerators", "-1"}, {"memGb", "true"},       {"breeds", "[]"},
+      {"breeds", "[1]"},     {"breeds", "\"gpu\""},  {"yard", "\"\""},        {"yard", "1"},
+      {"samePlace", "1"},    {"apart", "\"no\""},    {"apart", "true"},       {"loaners", "0"},
+      {"cargo", "\"\""},     {"pullGb", "-0.1"},     {"expectS", "\"long\""}, {"waypointS", "-1"},
+      {"stowS", "[]"},       {"dueS", "-5"},         {"dueS", "\"soon\""},
   };
   for (const auto& c : cases) {
     Json json = submission();
--- a/tests/http_test.cpp
+++ b/tests/http_test.cpp
@@ -34,7 +34,9 @@
   std::pair<Outcome, Response> call(Request request, Seconds timeout = 5) {
     std::optional<std::pair<Outcome, Response>> got;
     client.call(address.text(), std::move(request), timeout,
-                [&](Outcome outcome, Response response) { got = {outcome, std::move(response)}; });
+                [&](Outcome outcome, Response response) {
+                  got = {outcome, std::move(response)};
+                });
     while (!got) io.run_one();
     return *got;
   }
@@ -111,8 +113,8 @@
 TEST_F(Http, RefusesWhatIsMalformedAndGoesOn) {
   EXPECT_TRUE(raw("NONSENSE\r\n\r\n").starts_with("HTTP/1.1 400 "));
   EXPECT_TRUE(raw("POST /echo HTTP/1.1\r\nContent-Length: x\r\n\r\n").starts_with("HTTP/1.1 400 "));
-  const std::string large = "POST /echo HTTP/1.1\r\nContent-Length: 70000\r\n\r\n" +
-                            std::string(kBodyLimit + 1, 'x');
+  const std::string large =
+      "POST /echo HTTP/1.1\r\nContent-Length: 70000\r\n\r\n" + std::string(kBodyLimit + 1, 'x');
   EXPECT_TRUE(raw(large).starts_with("HTTP/1.1 413 "));
   EXPECT_EQ(call({"GET", "/echo", ""}).second.status, 200);
 }
--- a/tests/planner_test.cpp
+++ b/tests/planner_test.cpp
@@ -9,7 +9,9 @@
 
 class Planner : public ::testing::Test {
  protected:
-  Planner() : settings(testing::settings()), ledger(settings) { ledger.set_types(testing::types()); }
+  Planner() : settings(testing::settings()), ledger(settings) {
+    ledger.set_types(testing::types());
+  }
 
   Plan round(Seconds now = 100) { return plan(ledger, holds, now, limits); }
   // Plans and places, as the leader does.
@@ -23,6 +25,14 @@
     }
     return out;
   }
+  // The job's placed tasks are reported as running.
+  static void runs(Job& job, Seconds (*since)(std::uint32_t task)) {
+    for (auto& [task, p] : job.live) {
+      p.stage = Placement::Stage::held;
+      p.state = TaskState::running;
+      p.running_since = since(task);
+    }
+  }
   static size_t placed(const Plan& plan, const std::string& job) {
     for (const auto& a : plan.assignments) {
       if (a.job == job) return a.tasks.size();
@@ -93,8 +103,8 @@
       {"spot with leave", "small", "west", true, [](protocol::JobSpec& s) { s.spot = true; }, 1},
       {"another zone", "small", "west", false, [](protocol::JobSpec& s) { s.zone = "east"; }, 0},
       {"its zone", "small", "east", false, [](protocol::JobSpec& s) { s.zone = "east"; }, 1},
-      {"another type", "small", "east", false,
-       [](protocol::JobSpec& s) { s.types = {{"large"}}; }, 0},
+      {"another type", "small", "east", false, [](protocol::JobSpec& s) { s.types = {{"large"}}; },
+       0},
       {"too large", "small", "east", false, [](protocol::JobSpec& s) { s.cpus = 5; }, 0},
   };
   for (const auto& c : cases) {
@@ -221,11 +231,7 @@
   testing::up(ledger, "i-1", "small");
   auto& low = testing::add(ledger, testing::spec("job-1", 2));
   carried_out();
-  for (auto& [task, p] : low.live) {
-    p.stage = Placement::Stage::held;
-    p.state = TaskState::running;
-    p.running_since = 100 - task;
-  }
+  runs(low, [](std::uint32_t task) { return 100.0 - task; });
   testing::add(ledger, testing::spec("job-2"), 5);
   EXPECT_TRUE(round(110).preemptions.empty());  // of the same priority
   auto urgent = testing::spec("job-3");
@@ -246,11 +252,7 @@
   testing::up(ledger, "i-1", "small");
   auto& low = testing::add(ledger, testing::spec("job-1", 2));
   carried_out();
-  for (auto& [task, p] : low.live) {
-    p.stage = Placement::Stage::held;
-    p.state = TaskState::running;
-    p.running_since = 100;
-  }
+  runs(low, [](std::uint32_t) { return 100.0; });
   testing::add(ledger, testing::spec("job-2"), 5);
   auto urgent = testing::spec("job-3", 1, 4);
   urgent.priority = protocol::Priority::high;
--- a/tests/sim/worker.cpp
+++ b/tests/sim/worker.cpp
@@ -38,9 +38,9 @@
     if (task.saved) leg["saved"] = true;
     legs.push_back(std::move(leg));
   }
-  Json out{{"perch", name},  {"address", address},   {"breed", type},    {"yard", zone},
-           {"loaners", spot}, {"flight", session_}, {"tick", ++tick_}, {"baton", token_},
-           {"legs", legs}};
+  Json out{{"perch", name},   {"address", address}, {"breed", type},
+           {"yard", zone},    {"loaners", spot},    {"flight", session_},
+           {"tick", ++tick_}, {"baton", token_},    {"legs", legs}};
   out["recallS"] = taken_at_ >= 0 ? Json(taken_at_ - world_.events.now()) : Json(nullptr);
   return out;
 }
@@ -63,41 +63,40 @@
   const Seconds sent = reported_at_ = world_.events.now();
   const std::uint64_t session = session_;
   const std::string target = "10.0.0." + std::to_string(home_ + 1) + ":8080";
-  world_.send(name, target, {"POST", "/checkin", report().dump()}, 4,
-              [this, sent, session](Outcome outcome, const Response& response) {
-                in_flight_ = false;
-                if (gone) return;
-                Seconds next =
-                    world_.settings.report_s * (0.75 + world_.chance() / 2);
-                if (outcome == Outcome::answered && response.status == 200) {
-                  const Json json = Json::parse(response.body);
-                  const std::uint64_t token = json.value("baton", std::uint64_t{0});
-                  if (session == session_ && token >= token_) {
-                    if (token > token_) {
-                      token_ = token;
-                      again_ = true;
-                    }
-                    answered_sent_ = sent;
-                    carry_out(json.at("calls"));
-                  }
-                } else if (outcome == Outcome::answered && response.status == 421) {
-                  const std::string home = Json::parse(response.body).value("home", "");
-                  if (home.starts_with("node-") && home != "node-" + std::to_string(home_)) {
-                    home_ = static_cast<size_t>(home.back() - '0');
-                    next = 0.1;
-                  } else {
-                    home_ = (home_ + 1) % 3;
-                    next = 1;
-                  }
-                } else {
-                  home_ = (home_ + 1) % 3;
-                  next = 1;
-                }
-                if (again_) next = std::min(next, 0.5);
-                next_report_ =
-                    world_.events.at(world_.events.now() + next, [this] { send_report(); });
-              },
-              std::make_shared<bool>(true));
+  world_.send(
+      name, target, {"POST", "/checkin", report().dump()}, 4,
+      [this, sent, session](Outcome outcome, const Response& response) {
+        in_flight_ = false;
+        if (gone) return;
+        Seconds next = world_.settings.report_s * (0.75 + world_.chance() / 2);
+        if (outcome == Outcome::answered && response.status == 200) {
+          const Json json = Json::parse(response.body);
+          const std::uint64_t token = json.value("baton", std::uint64_t{0});
+          if (session == session_ && token >= token_) {
+            if (token > token_) {
+              token_ = token;
+              again_ = true;
+            }
+            answered_sent_ = sent;
+            carry_out(json.at("calls"));
+          }
+        } else if (outcome == Outcome::answered && response.status == 421) {
+          const std::string home = Json::parse(response.body).value("home", "");
+          if (home.starts_with("node-") && home != "node-" + std::to_string(home_)) {
+            home_ = static_cast<size_t>(home.back() - '0');
+            next = 0.1;
+          } else {
+            home_ = (home_ + 1) % 3;
+            next = 1;
+          }
+        } else {
+          home_ = (home_ + 1) % 3;
+          next = 1;
+        }
+        if (again_) next = std::min(next, 0.5);
+        next_report_ = world_.events.at(world_.events.now() + next, [this] { send_report(); });
+      },
+      std::make_shared<bool>(true));
 }
 
 void Worker::handle(const Request& request, Respond respond) {
@@ -167,8 +166,7 @@
 
 void Worker::has_image(const Key& key, std::uint64_t serial) {
   const auto it = tasks_.find(key);
-  if (gone || it == tasks_.end() || it->second.serial != serial ||
-      it->second.state != "fetching") {
+  if (gone || it == tasks_.end() || it->second.serial != serial || it->second.state != "fetching") {
     return;
   }
   it->second.on = true;
--- a/tests/sim/world.cpp
+++ b/tests/sim/world.cpp
@@ -50,8 +50,7 @@
  public:
   NodeClient(World& world, std::string host, std::shared_ptr<bool> alive)
       : world_(world), host_(std::move(host)), alive_(std::move(alive)) {}
-  void call(const std::string& endpoint, Request request, Seconds timeout,
-            OnReply reply) override {
+  void call(const std::string& endpoint, Request request, Seconds timeout, OnReply reply) override {
     world_.send(host_, endpoint, std::move(request), timeout, std::move(reply), alive_);
   }
 
@@ -69,8 +68,8 @@
   s.cloud = {"10.2.0.2", 8443};
   for (size_t i = 0; i < 3; ++i) {
     if (i == node) continue;
-    s.peers.push_back({"node-" + std::to_string(i), "east",
-                       {"10.0.0." + std::to_string(i + 1), 8081}});
+    s.peers.push_back(
+        {"node-" + std::to_string(i), "east", {"10.0.0." + std::to_string(i + 1), 8081}});
   }
   return s;
 }
@@ -86,11 +85,7 @@
 };
 
 World::World(std::uint64_t seed, Troubles t)
-    : settings(testing::settings()),
-      random(seed),
-      troubles(t),
-      checker(settings),
-      state(*this) {
+    : settings(testing::settings()), random(seed), troubles(t), checker(settings), state(*this) {
   for (size_t i = 0; i < 3; ++i) {
     hosts_.push_back(std::make_unique<Host>());
     hosts_[i]->settings = node_settings(i);
@@ -189,9 +184,8 @@
   } else if (chance() < troubles.late) {
     arrives = now + chance() * troubles.latest;
   }
-  events.at(now + timeout, [finish, sent] {
-    finish(sent ? Outcome::unknown : Outcome::not_sent, {});
-  });
+  events.at(now + timeout,
+            [finish, sent] { finish(sent ? Outcome::unknown : Outcome::not_sent, {}); });
   if (!sent) return;
   const bool lost = chance() < troubles.lost;
   events.at(arrives, [this, from, to, address, request = std::move(request), finish, lost] {
@@ -419,64 +413,68 @@
 }  // namespace
 
 void World::user_submits(const JobSpec& s, int tries) {
-  send("users", some_node(*this), {"POST", "/v2/runs", body_of(s)}, 5,
-       [this, s, tries](Outcome outcome, const Response& response) {
-         const bool accepted = outcome == Outcome::answered &&
-                               (response.status == 200 || response.status == 201);
-         if (outcome == Outcome::answered) {
-           checker.answered_submission(events.now(), s.id, response.status, stage_in(response));
-         }
-         if (accepted) {
-           heard_[s.id] = stage_in(response);
-           events.at(events.now() + 5, [this, id = s.id] { user_polls(id); });
-           // A retry may come at any later time.
-           if (chance() < 0.1) {
-             events.at(events.now() + 60 * chance(), [this, s] { user_submits(s, 1000); });
-           }
-         } else if (tries < 60) {
-           events.at(events.now() + 1, [this, s, tries] { user_submits(s, tries + 1); });
-         }
-       },
-       std::make_shared<bool>(true));
+  send(
+      "users", some_node(*this), {"POST", "/v2/runs", body_of(s)}, 5,
+      [this, s, tries](Outcome outcome, const Response& response) {
+        const bool accepted =
+            outcome == Outcome::answered && (response.status == 200 || response.status == 201);
+        if (outcome == Outcome::answered) {
+          checker.answered_submission(events.now(), s.id, response.status, stage_in(response));
+        }
+        if (accepted) {
+          heard_[s.id] = stage_in(response);
+          events.at(events.now() + 5, [this, id = s.id] { user_polls(id); });
+          // A retry may come at any later time.
+          if (chance() < 0.1) {
+            events.at(events.now() + 60 * chance(), [this, s] { user_submits(s, 1000); });
+          }
+        } else if (tries < 60) {
+          events.at(events.now() + 1, [this, s, tries] { user_submits(s, tries + 1); });
+        }
+      },
+      std::make_shared<bool>(true));
 }
 
 void World::user_polls(const std::string& id) {
-  send("users", some_node(*this), {"GET", "/v2/runs/" + id, ""}, 2,
-       [this, id](Outcome outcome, const Response& response) {
-         if (outcome == Outcome::answered) {
-           checker.answered_query(events.now(), id, response.status, stage_in(response));
-           if (response.status == 200) heard_[id] = stage_in(response);
-         }
-         const bool over = heard_[id] == "done" || heard_[id] == "withdrawn";
-         // Those that know the end still ask now and then.
-         if (!over || chance() < 0.8) {
-           events.at(events.now() + 5, [this, id] { user_polls(id); });
-         }
-       },
-       std::make_shared<bool>(true));
+  send(
+      "users", some_node(*this), {"GET", "/v2/runs/" + id, ""}, 2,
+      [this, id](Outcome outcome, const Response& response) {
+        if (outcome == Outcome::answered) {
+          checker.answered_query(events.now(), id, response.status, stage_in(response));
+          if (response.status == 200) heard_[id] = stage_in(response);
+        }
+        const bool over = heard_[id] == "done" || heard_[id] == "withdrawn";
+        // Those that know the end still ask now and then.
+        if (!over || chance() < 0.8) {
+          events.at(events.now() + 5, [this, id] { user_polls(id); });
+        }
+      },
+      std::make_shared<bool>(true));
   if (chance() < 0.02) {
     const std::string nobody = "job-" + std::to_string(900000 + static_cast<int>(chance() * 9));
-    send("users", some_node(*this), {"GET", "/v2/runs/" + nobody, ""}, 2,
-         [this, nobody](Outcome outcome, const Response& response) {
-           if (outcome == Outcome::answered) {
-             checker.answered_query(events.now(), nobody, response.status, stage_in(response));
-           }
-         },
-         std::make_shared<bool>(true));
+    send(
+        "users", some_node(*this), {"GET", "/v2/runs/" + nobody, ""}, 2,
+        [this, nobody](Outcome outcome, const Response& response) {
+          if (outcome == Outcome::answered) {
+            checker.answered_query(events.now(), nobody, response.status, stage_in(response));
+          }
+        },
+        std::make_shared<bool>(true));
   }
 }
 
 void World::user_cancels(const std::string& id, int tries) {
-  send("users", some_node(*this), {"POST", "/v2/runs/" + id + "/cancel", ""}, 5,
-       [this, id, tries](Outcome outcome, const Response& response) {
-         if (outcome == Outcome::answered && response.status == 200) {
-           checker.answered_query(events.now(), id, 200, stage_in(response));
-           heard_[id] = stage_in(response);
-         } else if (tries < 60) {
-           events.at(events.now() + 1, [this, id, tries] { user_cancels(id, tries + 1); });
-         }
-       },
-       std::make_shared<bool>(true));
+  send(
+      "users", some_node(*this), {"POST", "/v2/runs/" + id + "/cancel", ""}, 5,
+      [this, id, tries](Outcome outcome, const Response& response) {
+        if (outcome == Outcome::answered && response.status == 200) {
+          checker.answered_query(events.now(), id, 200, stage_in(response));
+          heard_[id] = stage_in(response);
+        } else if (tries < 60) {
+          events.at(events.now() + 1, [this, id, tries] { user_cancels(id, tries + 1); });
+        }
+      },
+      std::make_shared<bool>(true));
 }
 
 bool World::all_over() const { return unfinished().empty(); }
--- a/tests/sim/world.hpp
+++ b/tests/sim/world.hpp
@@ -47,7 +47,6 @@
   explicit StateStandIn(World& world) : world_(world) {}
   void handle(const Request& request, Respond respond);
   void set_outage(bool on);
-  std::uint64_t revision() const { return revision_; }
 
  private:
   struct Key {
@@ -142,9 +141,9 @@
 };
 
 struct Troubles {
-  double lost = 0;       // answers that get lost, as a part of all
-  double late = 0;       // requests that arrive long after the sender gave up
-  Seconds latest = 40;   // how late
+  double lost = 0;      // answers that get lost, as a part of all
+  double late = 0;      // requests that arrive long after the sender gave up
+  Seconds latest = 40;  // how late
   double cancelled = 0.1;
 };
 
--- a/tests/sim_test.cpp
+++ b/tests/sim_test.cpp
@@ -55,7 +55,10 @@
          c.starts(2, {"job-1", 0}, east);
          c.starts(3, {"job-1", 1}, east2);
        }},
-      {"wrong_place", [&](Checker& c) { c.starts(2, {"job-1", 0}, spot); }},
+      {"wrong_place",
+       [&](Checker& c) {
+         c.starts(2, {"job-1", 0}, spot);
+       }},
       {"wrong_place",
        [&](Checker& c) {
          c.starts(2, {"job-1", 0}, east);
@@ -129,19 +132,22 @@
     {"quiet", {}, [](World&) {}},
     {"lost_answers", {0.03, 0, 40, 0.2}, [](World&) {}},
     {"late_requests", {0.01, 0.02, 40, 0.3}, [](World&) {}},
-    {"leader_crashes", {0.005, 0.005, 30, 0.2},
+    {"leader_crashes",
+     {0.005, 0.005, 30, 0.2},
      [](World& w) {
        for (const Seconds when : {30, 55, 70, 71, 100}) {
          to_leader(w, when, [&w](size_t i) { w.kill(i, 4); });
        }
      }},
-    {"leader_restarts_at_once", {0.005, 0.005, 30, 0.2},
+    {"leader_restarts_at_once",
+     {0.005, 0.005, 30, 0.2},
      [](World& w) {
        for (const Seconds when : {30, 45, 60, 75}) {
          to_leader(w, when, [&w](size_t i) { w.kill(i, 0.3); });
        }
      }},
-    {"all_crash", {0, 0.01, 30, 0.2},
+    {"all_crash",
+     {0, 0.01, 30, 0.2},
      [](World& w) {
        for (const Seconds when : {40, 90}) {
          w.events.at(when, [&w] {
@@ -149,20 +155,23 @@
          });
        }
      }},
-    {"state_outage", {0.002, 0, 30, 0.3},
+    {"state_outage",
+     {0.002, 0, 30, 0.3},
      [](World& w) {
        for (const Seconds when : {30, 80}) {
          w.events.at(when, [&w] { w.state.set_outage(true); });
          w.events.at(when + 15, [&w] { w.state.set_outage(false); });
        }
      }},
-    {"outage_and_crash", {0.002, 0.005, 30, 0.3},
+    {"outage_and_crash",
+     {0.002, 0.005, 30, 0.3},
      [](World& w) {
        w.events.at(40, [&w] { w.state.set_outage(true); });
        w.events.at(52, [&w] { w.state.set_outage(false); });
        to_leader(w, 44, [&w](size_t i) { w.kill(i, 4); });
      }},
-    {"leader_refused_by_state", {0.002, 0, 30, 0.4},
+    {"leader_refused_by_state",
+     {0.002, 0, 30, 0.4},
      [](World& w) {
        for (const Seconds when : {30, 80}) {
          to_leader(w, when, [&w](size_t i) {
@@ -171,19 +180,22 @@
          });
        }
      }},
-    {"leader_cut_from_state", {0.002, 0.005, 30, 0.4},
+    {"leader_cut_from_state",
+     {0.002, 0.005, 30, 0.4},
      [](World& w) {
        for (const Seconds when : {30, 80}) {
          to_leader(w, when, [&w](size_t i) { w.cut(node(i), "state", 25); });
        }
      }},
-    {"leader_cut_from_workers", {0.002, 0.005, 30, 0.4},
+    {"leader_cut_from_workers",
+     {0.002, 0.005, 30, 0.4},
      [](World& w) {
        for (const Seconds when : {30, 80}) {
          to_leader(w, when, [&w](size_t i) { w.cut(node(i), "workers", 25); });
        }
      }},
-    {"leader_cut_from_all", {0.002, 0.005, 30, 0.4},
+    {"leader_cut_from_all",
+     {0.002, 0.005, 30, 0.4},
      [](World& w) {
        for (const Seconds when : {30, 80}) {
          to_leader(w, when, [&w](size_t i) {
@@ -198,7 +210,8 @@
      }},
     // Machines out of reach of every node, for less and for more than their lease; what was sent
     // to them arrives afterwards.
-    {"machines_cut_off", {0.01, 0.02, 30, 0.4},
+    {"machines_cut_off",
+     {0.01, 0.02, 30, 0.4},
      [](World& w) {
        for (int k = 0; k < 40; ++k) {
          w.events.at(15 + 3 * k, [&w, k] {
@@ -211,14 +224,16 @@
      }},
     // More work than the teams' limits allow, urgent work that pushes other work aside, and a
     // leader that comes and goes.
-    {"crowded", {0.01, 0.005, 20, 0.1},
+    {"crowded",
+     {0.01, 0.005, 20, 0.1},
      [](World& w) {
        w.submit_some(100, 90);
        for (int k = 0; k < 10; ++k) {
          to_leader(w, 20 + 9 * k, [&w](size_t i) { w.kill(i, 2); });
        }
      }},
-    {"machines_die", {0.002, 0.005, 30, 0.2},
+    {"machines_die",
+     {0.002, 0.005, 30, 0.2},
      [](World& w) {
        for (int k = 0; k < 10; ++k) {
          w.events.at(25 + 8 * k, [&w, k] {
--- a/tests/state_client_test.cpp
+++ b/tests/state_client_test.cpp
@@ -64,8 +64,9 @@
     txn.guards.push_back({"a", 0});
     txn.writes.push_back({"a", {{"x", 1}}, std::nullopt});
     std::optional<CommitReply> got;
-    client.settle(txn, [this, until = clock.now() + 20] { return clock.now() < until; },
-                  [&](CommitReply reply) { got = reply; });
+    client.settle(
+        txn, [this, until = clock.now() + 20] { return clock.now() < until; },
+        [&](CommitReply reply) { got = reply; });
     clock.run(clock.now() + 30);
     return got.value();
   }
@@ -81,10 +82,10 @@
 const std::pair<Outcome, Response> kApplied{Outcome::answered, {200, R"({"ledger":9})", 0}};
 const std::pair<Outcome, Response> kConflict{Outcome::answered,
                                              {409, R"({"failed":["a"],"ledger":9})", 0}};
-const std::pair<Outcome, Response> kMine{
-    Outcome::answered, {200, R"({"k":"a","data":{"x":1},"mark":7})", 0}};
-const std::pair<Outcome, Response> kOther{
-    Outcome::answered, {200, R"({"k":"a","data":{"x":2},"mark":7})", 0}};
+const std::pair<Outcome, Response> kMine{Outcome::answered,
+                                         {200, R"({"k":"a","data":{"x":1},"mark":7})", 0}};
+const std::pair<Outcome, Response> kOther{Outcome::answered,
+                                          {200, R"({"k":"a","data":{"x":2},"mark":7})", 0}};
 
 TEST_F(State, SettleTellsWhatBecameOfATransaction) {
   const struct {
@@ -98,8 +99,10 @@
       {"a guard failed", {kConflict}, Status::conflict, 0},
       {"lost, then applied", {kLost, kApplied}, Status::ok, 9},
       {"lost, though applied", {kLost, kConflict, kMine}, Status::ok, 7},
-      {"lost, though applied, read back late", {kLost, kConflict, kLost, kConflict, kMine},
-       Status::ok, 7},
+      {"lost, though applied, read back late",
+       {kLost, kConflict, kLost, kConflict, kMine},
+       Status::ok,
+       7},
       {"lost, and another was there", {kLost, kConflict, kOther}, Status::conflict, 0},
   };
   for (const auto& c : cases) {
