--- a/src/coordination/leader.cpp
+++ b/src/coordination/leader.cpp
@@ -177,6 +177,7 @@
   for (auto& [name, machine] : ledger_.machines()) {
     // The leader before this one may have answered its reports until its own bound.
     machine.answered_at = std::max(machine.answered_at, begun_at_ + election_.retention());
+    machine.there_at = begun_at_;
   }
   for (const auto& [id, job] : ledger_.jobs()) {
     if (job->spec.gang && job->live.size() > 1) job->gang_started = true;  // to be on the safe side
@@ -556,6 +557,7 @@
   if (report.session > machine.session) end_sessions(machine, report.session);
   if (!machine.heard) {
     machine.heard = true;
+    machine.there_at = std::max(machine.there_at, now);
     machine.idle_since = now;
     if (machine.rented_at == 0) machine.rented_at = now;
     if (const auto it = loaded_images_.find(report.machine); it != loaded_images_.end()) {
@@ -1018,6 +1020,7 @@
           for (const auto& name : names) {
             Machine& machine = ledger_.machine(name);
             if (machine.rented_at == 0) machine.rented_at = sent;
+            machine.there_at = std::max(machine.there_at, clock_.now());
             machine.zone = request.zone;
             machine.spot = request.spot;
             ledger_.set_type(machine, request.type);
@@ -1146,7 +1149,9 @@
   const Seconds oldest = begun - 2 * settings_.list_lag_s - settings_.report_s;
   std::vector<std::string> missing;
   for (const auto& [name, machine] : ledger_.machines()) {
-    const Seconds known = std::max(machine.listed_at, machine.rented_at);
+    // A machine of an earlier leader's records counts too: when leaders change often, each would
+    // otherwise wait anew for the lease of one that has long been taken.
+    const Seconds known = std::max(machine.listed_at, machine.there_at);
     if (machine.listed_at != begun && known > 0 && known < oldest &&
         (machine.heard_at < oldest || machine.listed_at > 0)) {
       missing.push_back(name);
--- a/src/coordination/ledger.hpp
+++ b/src/coordination/ledger.hpp
@@ -124,6 +124,8 @@
   Seconds heard_at = -1;     // the newest report
   Seconds answered_at = -1;  // the last 200 that any leader may have given it
   Seconds listed_at = -1;
+  Seconds there_at = -1;  // it was there by then: rented, reporting, or in an earlier leader's
+                          // records
   std::optional<Seconds> taken_at;  // from the spot notice
   bool silent = false;              // its lease has run out unanswered; it must report anew
   bool returning = false;
--- a/tests/sim_test.cpp
+++ b/tests/sim_test.cpp
@@ -232,6 +232,18 @@
          to_leader(w, 20 + 9 * k, [&w](size_t i) { w.kill(i, 2); });
        }
      }},
+    {"machines_die_while_leaders_change",
+     {0.002, 0.005, 30, 0.2},
+     [](World& w) {
+       for (int k = 0; k < 8; ++k) {
+         w.events.at(25 + 10 * k, [&w] {
+           for (const auto& worker : w.workers) {
+             if (!worker->gone && w.chance() < 0.2) worker->vanish();
+           }
+         });
+         to_leader(w, 26 + 10 * k, [&w](size_t i) { w.kill(i, 3); });
+       }
+     }},
     {"machines_die",
      {0.002, 0.005, 30, 0.2},
      [](World& w) {
