--- a/tests/sim/world.cpp
+++ b/tests/sim/world.cpp
@@ -60,6 +60,10 @@
   std::shared_ptr<bool> alive_;
 };
 
+std::pair<std::string, std::string> ordered(const std::string& a, const std::string& b) {
+  return a < b ? std::make_pair(a, b) : std::make_pair(b, a);
+}
+
 Settings node_settings(size_t node) {
   Settings s = testing::settings();
   s.peers.clear();
@@ -127,12 +131,12 @@
 }
 
 void World::cut(const std::string& a, const std::string& b, Seconds length) {
-  cuts_[std::minmax(a, b)] = events.now() + length;
+  cuts_[ordered(a, b)] = events.now() + length;
 }
 
 Seconds World::cut_ends(const std::string& a, const std::string& b) const {
   Seconds ends = 0;
-  for (const auto& pair : {std::minmax(a, b), std::minmax(group_of(a), group_of(b))}) {
+  for (const auto& pair : {ordered(a, b), ordered(group_of(a), group_of(b))}) {
     const auto it = cuts_.find(pair);
     if (it != cuts_.end()) ends = std::max(ends, it->second);
   }
