--- a/tests/sim/state_stand_in.cpp
+++ b/tests/sim/state_stand_in.cpp
@@ -145,7 +145,8 @@
   const std::string prefix = parameter(query, "starts");
   const std::string since = parameter(query, "since");
   // Small pages, so that paging is exercised.
-  const size_t limit = std::min<size_t>(std::stoul("0" + parameter(query, "limit")), 20);
+  const std::string asked = parameter(query, "limit");
+  const size_t limit = asked.empty() ? 20 : std::min<size_t>(std::stoul(asked), 20);
   Json pairs = Json::array();
   bool more = false;
   for (auto it = keys_.upper_bound(since.empty() ? prefix : since); it != keys_.end(); ++it) {
