One fetch time, one way to give up a machine's tasks, one look-up of a failed guard

Found in a last read of the whole: the time an image takes was worked out in three places, the tasks of a lost machine were given up in two, and a failed guard was searched for in two.

--- a/src/coordination/forecast.cpp
+++ b/src/coordination/forecast.cpp
@@ -13,7 +13,7 @@
     if (type.zones.empty() || !allows(spec, type, spec.zone.value_or(type.zones.front()), false)) {
       continue;
     }
-    const Seconds fetch = type.fetch_gb_per_s > 0 ? spec.image_gb / type.fetch_gb_per_s : 0;
+    const Seconds fetch = fetch_time(spec, type);
     if (soonest < 0 || type.boot_s + fetch < soonest) soonest = type.boot_s + fetch;
   }
   return soonest;
--- a/src/coordination/leader.cpp
+++ b/src/coordination/leader.cpp
@@ -343,15 +343,12 @@
   job->busy = false;
   if (reply.status != Status::ok) {
     for (const auto number : chunks) job->chunks[number].dirty = true;
-    const auto failed = [&](const std::string& key) {
-      return std::find(reply.failed.begin(), reply.failed.end(), key) != reply.failed.end();
-    };
-    if (reply.status == Status::conflict && failed(storage::job_key(id))) {
+    if (reply.status == Status::conflict && reply.failed_on(storage::job_key(id))) {
       job->busy = true;  // until its record has been read again
       refresh_job(id);
       return;
     }
-    if (reply.status == Status::conflict && failed(storage::kLeaderKey)) {
+    if (reply.status == Status::conflict && reply.failed_on(storage::kLeaderKey)) {
       // Either this node raised its own token meanwhile, or it no longer leads and will hear so.
       later(settings_.report_s * kTickRatio, [this, id] {
         if (Job* again = ledger_.job(id)) sync(*again);
@@ -431,9 +428,7 @@
           request_plan();
           return;
         }
-        if (reply.status == Status::conflict &&
-            std::find(reply.failed.begin(), reply.failed.end(), storage::job_key(id)) !=
-                reply.failed.end()) {
+        if (reply.status == Status::conflict && reply.failed_on(storage::job_key(id))) {
           refresh_job(id);
           return;
         }
@@ -871,17 +866,20 @@
   }
 }
 
+void Leader::all_gone(Machine& machine, const std::string& why) {
+  const auto tasks = machine.tasks;  // a copy: what follows changes it
+  for (const auto& id : tasks) {
+    Job* job = ledger_.job(id.job);
+    if (job != nullptr && job->live.contains(id.task)) gone(*job, id.task, why);
+  }
+}
+
 void Leader::machine_gone(const std::string& name, const std::string& why) {
   Machine* machine = ledger_.find_machine(name);
   if (machine == nullptr) return;
   spdlog::info("machine {} is gone: {}", name, why);
   gone_machines_[name] = clock_.now();
-  const auto tasks = machine->tasks;
-  for (const auto& id : tasks) {
-    if (Job* job = ledger_.job(id.job)) {
-      if (job->live.contains(id.task)) gone(*job, id.task, "machine " + name + " is gone");
-    }
-  }
+  all_gone(*machine, "machine " + name + " is gone");
   ledger_.remove_machine(name);
   garbage_.push_back(storage::kMachinePrefix + name);
   drop_garbage();
@@ -1115,13 +1113,7 @@
                      // deleted.
                      Machine* machine = ledger_.find_machine(name);
                      if (machine == nullptr || machine->returning) continue;
-                     const auto tasks = machine->tasks;
-                     for (const auto& id : tasks) {
-                       Job* job = ledger_.job(id.job);
-                       if (job != nullptr && job->live.contains(id.task)) {
-                         gone(*job, id.task, "machine " + name + " has failed");
-                       }
-                     }
+                     all_gone(*machine, "machine " + name + " has failed");
                      give_back({name});
                    }
                    if (page.more && !page.machines.empty()) {
--- a/src/coordination/leader.hpp
+++ b/src/coordination/leader.hpp
@@ -79,6 +79,7 @@
   void launch(Job& job, const std::vector<std::uint32_t>& tasks);
   void inspect(Machine& machine);
   void end_sessions(Machine& machine, std::uint64_t session);
+  void all_gone(Machine& machine, const std::string& why);
   void machine_gone(const std::string& name, const std::string& why);
   void drain(Machine& machine, double notice_s);
 
--- a/src/coordination/ledger.cpp
+++ b/src/coordination/ledger.cpp
@@ -312,6 +312,10 @@
   return nullptr;
 }
 
+Seconds fetch_time(const JobSpec& spec, const MachineType& type) {
+  return type.fetch_gb_per_s > 0 ? spec.image_gb / type.fetch_gb_per_s : 0;
+}
+
 bool allows(const JobSpec& spec, const MachineType& type, const std::string& zone, bool spot) {
   if (spot && !spec.spot) return false;
   if (spec.zone && *spec.zone != zone) return false;
--- a/src/coordination/ledger.hpp
+++ b/src/coordination/ledger.hpp
@@ -222,6 +222,9 @@
   std::vector<MachineType> types_;
 };
 
+// How long a machine of this type fetches the job's image, with the network to itself.
+Seconds fetch_time(const JobSpec& spec, const MachineType& type);
+
 // Whether a machine of this type, zone and kind may run the job's tasks at all.
 bool allows(const JobSpec& spec, const MachineType& type, const std::string& zone, bool spot);
 
--- a/src/coordination/planner.cpp
+++ b/src/coordination/planner.cpp
@@ -32,9 +32,8 @@
 double cost(const Job& job, const Slot& slot, const Ledger& ledger) {
   const MachineType* type = ledger.type(slot.machine->type);
   double out = 0;
-  if (!slot.machine->images.contains(job.spec.image) && type != nullptr &&
-      type->fetch_gb_per_s > 0) {
-    out += job.spec.image_gb / type->fetch_gb_per_s;
+  if (!slot.machine->images.contains(job.spec.image) && type != nullptr) {
+    out += fetch_time(job.spec, *type);
   }
   if (job.spec.gpus == 0 && slot.machine->capacity.gpus > 0) {
     // Work that needs no GPU leaves the machines that have some to work that does, unless it
@@ -228,9 +227,7 @@
       }
       std::vector<Preemption> victims;
       double loss = 0;
-      if (!slot.machine->images.contains(job.spec.image) && type->fetch_gb_per_s > 0) {
-        loss += job.spec.image_gb / type->fetch_gb_per_s;
-      }
+      if (!slot.machine->images.contains(job.spec.image)) loss += fetch_time(job.spec, *type);
       if (!gather(job, slot, left, victims, loss)) continue;
       if (best == nullptr || loss < best_loss) {
         best = &slot;
--- a/src/storage/state_client.hpp
+++ b/src/storage/state_client.hpp
@@ -2,6 +2,7 @@
 // part of the service's request limits and tells apart what was refused from what is in doubt.
 #pragma once
 
+#include <algorithm>
 #include <deque>
 #include <functional>
 #include <memory>
@@ -57,6 +58,9 @@
   Status status = Status::unknown;
   std::uint64_t revision = 0;
   std::vector<std::string> failed;
+  bool failed_on(const std::string& key) const {
+    return std::find(failed.begin(), failed.end(), key) != failed.end();
+  }
 };
 
 struct ListReply {
