State client: leases, users' calls, own work and helps in this order; completions gathered

Writes wait apart from reads; completions of a job that goes on are written together after a quarter of a report interval.

--- a/src/coordination/election.cpp
+++ b/src/coordination/election.cpp
@@ -42,18 +42,21 @@
 }
 
 void Election::look() {
-  state_.get(storage::kLeaderKey, [this](Status status, storage::Entry entry) {
-    if (status == Status::ok) {
-      watched_to_ = std::max(watched_to_, entry.mark);
-      saw(entry.mark, entry.data);
-      watch();
-    } else if (status == Status::missing) {
-      saw_none();
-      watch();
-    } else {
-      clock_.after(life_ * kRetryRatio, [this] { look(); });
-    }
-  });
+  state_.get(
+      storage::kLeaderKey,
+      [this](Status status, storage::Entry entry) {
+        if (status == Status::ok) {
+          watched_to_ = std::max(watched_to_, entry.mark);
+          saw(entry.mark, entry.data);
+          watch();
+        } else if (status == Status::missing) {
+          saw_none();
+          watch();
+        } else {
+          clock_.after(life_ * kRetryRatio, [this] { look(); });
+        }
+      },
+      storage::Use::lease);
 }
 
 void Election::watch() {
@@ -125,17 +128,20 @@
   txn.writes.push_back(
       {storage::kLeaderKey, {{"member", settings_.member}, {"lease", lease_}}, lease_});
   const auto wanted = [this] { return clock_.now() < grant_sent_ + life_; };
-  state_.settle(std::move(txn), wanted, [this](storage::CommitReply reply) {
-    campaigning_ = false;
-    if (reply.status == Status::ok) {
-      won(reply.revision);
-      return;
-    }
-    // Lost, or not known and the lease has run out: a late copy of this write then fails for
-    // want of its lease, or makes a key that ends with it.
-    state_.release(lease_);
-    lease_ = 0;
-  });
+  state_.settle(
+      std::move(txn), wanted,
+      [this](storage::CommitReply reply) {
+        campaigning_ = false;
+        if (reply.status == Status::ok) {
+          won(reply.revision);
+          return;
+        }
+        // Lost, or not known and the lease has run out: a late copy of this write then fails for
+        // want of its lease, or makes a key that ends with it.
+        state_.release(lease_);
+        lease_ = 0;
+      },
+      storage::Use::lease);
 }
 
 void Election::won(std::uint64_t mark) {
@@ -182,23 +188,25 @@
   if (confirming_) return;
   confirming_ = true;
   const Seconds sent = clock_.now();
-  state_.get(storage::kLeaderKey,
-             [this, sent, epoch = epoch_](Status status, storage::Entry entry) {
-               confirming_ = false;
-               if (epoch != epoch_ || token_ == 0) return;
-               if (status == Status::ok && entry.mark == token_) {
-                 // The read proves the key was there after `sent`, and the lease was renewed before
-                 // it.
-                 state_.extend(lease_, [this, sent, epoch](Status renewed) {
-                   if (epoch != epoch_ || token_ == 0 || renewed != Status::ok) return;
-                   spdlog::info("leads again with token {}", token_);
-                   renewed_at_ = std::max(renewed_at_, sent);
-                 });
-               } else if (status == Status::ok || status == Status::missing) {
-                 lose("the key is no longer its own");
-                 if (status == Status::missing) campaign(0);
-               }
-             });
+  state_.get(
+      storage::kLeaderKey,
+      [this, sent, epoch = epoch_](Status status, storage::Entry entry) {
+        confirming_ = false;
+        if (epoch != epoch_ || token_ == 0) return;
+        if (status == Status::ok && entry.mark == token_) {
+          // The read proves the key was there after `sent`, and the lease was renewed before
+          // it.
+          state_.extend(lease_, [this, sent, epoch](Status renewed) {
+            if (epoch != epoch_ || token_ == 0 || renewed != Status::ok) return;
+            spdlog::info("leads again with token {}", token_);
+            renewed_at_ = std::max(renewed_at_, sent);
+          });
+        } else if (status == Status::ok || status == Status::missing) {
+          lose("the key is no longer its own");
+          if (status == Status::missing) campaign(0);
+        }
+      },
+      storage::Use::lease);
 }
 
 void Election::lose(const std::string& why) {
@@ -243,7 +251,8 @@
         } else if (reply.status == Status::conflict) {
           lose("the key has changed");
         }
-      });
+      },
+      storage::Use::lease);
 }
 
 }  // namespace larkroad::coordination
--- a/src/coordination/front.cpp
+++ b/src/coordination/front.cpp
@@ -106,45 +106,50 @@
   }
   // A job's record moves from the one key to the other in a single transaction, so the two reads
   // in this order cannot both miss a job that was there before the first.
-  state_.get(storage::job_key(id), [this, id, done = std::move(done)](Status status,
-                                                                      storage::Entry entry) {
-    Known found;
-    found.status = status;
-    if (status == Status::ok) {
-      try {
-        found.record = storage::decode_job(id, entry.data);
-      } catch (const std::exception& error) {
-        spdlog::error("record of {}: {}", id, error.what());
-        found.status = Status::unknown;
-        done(found);
-        return;
-      }
-      found.mark = entry.mark;
-      const auto progress = progress_.find(id);
-      if (found.record.cancelled) {
-        found.state = JobState::cancelled;
-      } else if (progress != progress_.end() && progress->second.running > 0) {
-        found.state = JobState::running;
-      }
-      done(found);
-      return;
-    }
-    if (status != Status::missing) {
-      done(found);
-      return;
-    }
-    state_.get(storage::finished_key(id), [this, id, done](Status status, storage::Entry entry) {
-      Known over;
-      over.status = status;
-      if (status == Status::ok) {
-        const auto record = storage::decode_finished(entry.data);
-        remember(id, record);
-        over.state = record.cancelled ? JobState::cancelled : JobState::done;
-        over.tasks = record.tasks;
-      }
-      done(over);
-    });
-  });
+  state_.get(
+      storage::job_key(id),
+      [this, id, done = std::move(done)](Status status, storage::Entry entry) {
+        Known found;
+        found.status = status;
+        if (status == Status::ok) {
+          try {
+            found.record = storage::decode_job(id, entry.data);
+          } catch (const std::exception& error) {
+            spdlog::error("record of {}: {}", id, error.what());
+            found.status = Status::unknown;
+            done(found);
+            return;
+          }
+          found.mark = entry.mark;
+          const auto progress = progress_.find(id);
+          if (found.record.cancelled) {
+            found.state = JobState::cancelled;
+          } else if (progress != progress_.end() && progress->second.running > 0) {
+            found.state = JobState::running;
+          }
+          done(found);
+          return;
+        }
+        if (status != Status::missing) {
+          done(found);
+          return;
+        }
+        state_.get(
+            storage::finished_key(id),
+            [this, id, done](Status status, storage::Entry entry) {
+              Known over;
+              over.status = status;
+              if (status == Status::ok) {
+                const auto record = storage::decode_finished(entry.data);
+                remember(id, record);
+                over.state = record.cancelled ? JobState::cancelled : JobState::done;
+                over.tasks = record.tasks;
+              }
+              done(over);
+            },
+            storage::Use::user);
+      },
+      storage::Use::user);
 }
 
 void Front::answer_known(const std::string& id, const Known& known, const Respond& respond) {
@@ -235,7 +240,8 @@
             busy(respond);
           }
         });
-      });
+      },
+      storage::Use::user);
 }
 
 void Front::query(const std::string& id, Respond respond) {
@@ -289,7 +295,8 @@
           } else {
             busy(respond);
           }
-        });
+        },
+        storage::Use::user);
   });
 }
 
--- a/src/coordination/leader.cpp
+++ b/src/coordination/leader.cpp
@@ -304,7 +304,7 @@
   std::vector<std::uint32_t> done;
   size_t bytes = 0;
   for (auto& [number, chunk] : job.chunks) {
-    if (!chunk.dirty) continue;
+    if (!chunk.dirty || clock_.now() < chunk.write_at) continue;
     if (static_cast<int>(chunks.size()) >= settings_.txn_ops || bytes > transport::kBodyLimit / 2) {
       break;
     }
@@ -342,7 +342,7 @@
   if (job == nullptr) return;
   job->busy = false;
   if (reply.status != Status::ok) {
-    for (const auto number : chunks) job->chunks[number].dirty = true;
+    for (const auto number : chunks) job->chunks[number].dirty = true;  // at once, as before
     if (reply.status == Status::conflict && reply.failed_on(storage::job_key(id))) {
       job->busy = true;  // until its record has been read again
       refresh_job(id);
@@ -454,7 +454,8 @@
                     garbage_.insert(garbage_.end(), keys.begin(), keys.end());
                   // What is left of jobs that are over has no hurry.
                   if (!garbage_.empty()) later(settings_.report_s, [this] { drop_garbage(); });
-                }));
+                }),
+                storage::Use::help);
 }
 
 // What machines hold outlives a leader only for the sake of speed: it is written when nothing
@@ -490,7 +491,8 @@
                     if (Machine* machine = ledger_.find_machine(name))
                       machine->images_changed = true;
                   }
-                }));
+                }),
+                storage::Use::help);
 }
 
 void Leader::gone(Job& job, std::uint32_t task, const std::string& why) {
@@ -956,7 +958,7 @@
       const std::uint64_t attempt =
           job->spec.gang ? job->gang_attempt : job->chunks[job->chunk_of(task)].attempt + 1;
       ledger_.place(*job, task, machine, attempt, begun);
-      job->chunks[job->chunk_of(task)].dirty = true;
+      job->chunks[job->chunk_of(task)].write(begun);
     }
     spdlog::debug("job {}: {} tasks placed, first on {}", job->id(), assignment.tasks.size(),
                   assignment.tasks.front().second);
--- a/src/coordination/ledger.cpp
+++ b/src/coordination/ledger.cpp
@@ -13,6 +13,8 @@
 // Arrivals are counted over this many times what a cancellation may take: long against the tasks
 // of today's deployments, short against the day.
 constexpr double kMemoryRatio = 4;
+// How long completed tasks are gathered for one record, as a part of the report interval.
+constexpr double kGatherRatio = 1.0 / 4;
 
 }  // namespace
 
@@ -125,7 +127,7 @@
 
 void Ledger::load_chunk(Job& job, std::uint32_t chunk, const storage::ChunkRecord& record,
                         std::uint64_t mark, std::uint64_t doubt_token, Seconds now) {
-  job.chunks[chunk] = {mark, record.attempt, false};
+  job.chunks[chunk] = {mark, record.attempt, false, 0};
   const std::uint32_t first = chunk * job.chunk_tasks;
   const std::uint32_t end = std::min(first + job.chunk_tasks, job.spec.tasks);
   for (const auto& [from, to] : record.done) {
@@ -252,7 +254,9 @@
   job.done[task] = true;
   ++job.done_count;
   job.unrecorded_done.insert(task);
-  job.chunks[job.chunk_of(task)].dirty = true;
+  // Completions of a job that goes on are gathered: one write then tells of several. A state may
+  // lag by 3 s; the job's last completion is not held up by this.
+  job.chunks[job.chunk_of(task)].write(now + settings_.report_s * kGatherRatio);
   job.failures = 0;
 }
 
--- a/src/coordination/ledger.hpp
+++ b/src/coordination/ledger.hpp
@@ -68,6 +68,11 @@
   std::uint64_t mark = 0;
   std::uint64_t attempt = 0;
   bool dirty = false;
+  Seconds write_at = 0;  // when dirty: not before this
+  void write(Seconds when) {
+    write_at = dirty ? std::min(write_at, when) : when;
+    dirty = true;
+  }
 };
 
 struct Job {
--- a/src/storage/state_client.cpp
+++ b/src/storage/state_client.cpp
@@ -44,6 +44,7 @@
   Transaction txn;
   std::function<bool()> wanted;
   std::function<void(CommitReply)> done;
+  Use use = Use::work;
   bool in_doubt = false;
   int tries = 0;
 };
@@ -93,53 +94,57 @@
   write_tokens_ = std::min(write_tokens_ + passed * write_rps_ * share_, write_rps_ * share_);
 }
 
-void StateClient::submit(transport::Request request, Seconds timeout, double changes, bool urgent,
+void StateClient::submit(transport::Request request, Seconds timeout, double changes, Use use,
                          std::function<void(Status, transport::Response)> done) {
   Call call{std::move(request), timeout, changes, clock_.now(), std::move(done)};
   refill();
-  if (urgent) {
+  if (use == Use::lease) {
     // A lease renewal never waits for its turn; what it takes is missing to the others.
     tokens_ -= 1;
     write_tokens_ -= changes;
     send(std::move(call));
     return;
   }
-  const double ahead = static_cast<double>(waiting_.size());
-  if (ahead > rps_ * share_ * kLongestQueue) {
+  auto& queue = waiting_[{use, changes > 0}];
+  if (static_cast<double>(queue.size()) > rps_ * share_ * kLongestQueue) {
     clock_.after(0, [done = std::move(call.done)] { done(Status::unavailable, {}); });
     return;
   }
-  waiting_.push_back(std::move(call));
+  queue.push_back(std::move(call));
   pump();
 }
 
 void StateClient::pump() {
   refill();
-  while (!waiting_.empty()) {
-    Call& next = waiting_.front();
-    // A transaction larger than the whole bucket goes once the bucket is full.
-    const double changes = std::min(next.changes, write_rps_ * share_);
-    if (tokens_ < 1 || (next.changes > 0 && write_tokens_ < changes)) {
-      if (clock_.now() - next.queued_at > kLongestQueue * 2) {
-        auto done = std::move(next.done);
-        waiting_.pop_front();
-        clock_.after(0, [done = std::move(done)] { done(Status::unavailable, {}); });
+  bool short_of_requests = false;
+  bool short_of_writes = false;
+  for (auto& [rank, queue] : waiting_) {
+    while (!queue.empty()) {
+      Call& next = queue.front();
+      // A transaction larger than the whole bucket goes once the bucket is full.
+      const double changes = std::min(next.changes, write_rps_ * share_);
+      short_of_requests = short_of_requests || tokens_ < 1;
+      short_of_writes = short_of_writes || (changes > 0 && write_tokens_ < changes);
+      if (!short_of_requests && !(changes > 0 && short_of_writes)) {
+        tokens_ -= 1;
+        write_tokens_ -= next.changes;
+        Call call = std::move(next);
+        queue.pop_front();
+        send(std::move(call));
         continue;
       }
-      if (!pump_armed_) {
-        pump_armed_ = true;
-        clock_.after(std::max(0.005, 1 / (rps_ * share_)), [this] {
-          pump_armed_ = false;
-          pump();
-        });
-      }
-      return;
+      if (clock_.now() - next.queued_at <= kLongestQueue * 2) break;
+      auto done = std::move(next.done);
+      queue.pop_front();
+      clock_.after(0, [done = std::move(done)] { done(Status::unavailable, {}); });
     }
-    tokens_ -= 1;
-    write_tokens_ -= next.changes;
-    Call call = std::move(next);
-    waiting_.pop_front();
-    send(std::move(call));
+  }
+  if ((short_of_requests || short_of_writes) && !pump_armed_) {
+    pump_armed_ = true;
+    clock_.after(std::max(0.005, 1 / (rps_ * share_)), [this] {
+      pump_armed_ = false;
+      pump();
+    });
   }
 }
 
@@ -154,8 +159,8 @@
                });
 }
 
-void StateClient::get(const std::string& key, std::function<void(Status, Entry)> done) {
-  submit({"GET", "/store/" + key, ""}, timeout_, 0, false,
+void StateClient::get(const std::string& key, std::function<void(Status, Entry)> done, Use use) {
+  submit({"GET", "/store/" + key, ""}, timeout_, 0, use,
          [done = std::move(done)](Status status, transport::Response response) {
            Entry entry;
            if (status == Status::ok) {
@@ -174,7 +179,7 @@
                        std::function<void(ListReply)> done) {
   std::string target = "/store?starts=" + prefix + "&limit=1000";
   if (!after.empty()) target += "&since=" + after;
-  submit({"GET", target, ""}, timeout_ * 4, 0, false,
+  submit({"GET", target, ""}, timeout_ * 4, 0, Use::work,
          [done = std::move(done)](Status status, transport::Response response) {
            ListReply reply;
            reply.status = status;
@@ -195,8 +200,7 @@
          });
 }
 
-void StateClient::commit(const Transaction& txn, std::function<void(CommitReply)> done,
-                         bool urgent) {
+void StateClient::commit(const Transaction& txn, std::function<void(CommitReply)> done, Use use) {
   Json guards = Json::array();
   for (const auto& guard : txn.guards) guards.push_back({{"k", guard.key}, {"mark", guard.mark}});
   Json apply = Json::array();
@@ -207,7 +211,7 @@
   }
   for (const auto& key : txn.drops) apply.push_back({{"drop", key}});
   std::string body = Json{{"guards", std::move(guards)}, {"apply", std::move(apply)}}.dump();
-  submit({"POST", "/commit", std::move(body)}, timeout_, static_cast<double>(txn.changes()), urgent,
+  submit({"POST", "/commit", std::move(body)}, timeout_, static_cast<double>(txn.changes()), use,
          [done = std::move(done)](Status status, transport::Response response) {
            CommitReply reply;
            reply.status = status;
@@ -233,56 +237,62 @@
 }
 
 void StateClient::settle(Transaction txn, std::function<bool()> wanted,
-                         std::function<void(CommitReply)> done) {
-  try_settle(
-      std::make_shared<Settlement>(Settlement{std::move(txn), std::move(wanted), std::move(done)}));
+                         std::function<void(CommitReply)> done, Use use) {
+  try_settle(std::make_shared<Settlement>(
+      Settlement{std::move(txn), std::move(wanted), std::move(done), use}));
 }
 
 void StateClient::try_settle(std::shared_ptr<Settlement> job) {
-  commit(job->txn, [this, job](CommitReply reply) {
-    const auto again = [this, job] {
-      if (!job->wanted()) {
-        job->done({Status::unknown, 0, {}});
-        return;
-      }
-      const Seconds pause = std::min(0.05 * (1 << std::min(job->tries++, 4)), 0.5);
-      clock_.after(pause, [this, job] { try_settle(job); });
-    };
-    switch (reply.status) {
-      case Status::unknown:
-        job->in_doubt = true;
-        again();
-        return;
-      case Status::unavailable:
-        again();
-        return;
-      case Status::conflict: {
-        if (!job->in_doubt || job->txn.writes.empty()) {
-          job->done(std::move(reply));
-          return;
-        }
-        // Did an earlier copy of this very transaction make its own guards fail?
-        const Write& first = job->txn.writes.front();
-        get(first.key, [job, reply, again](Status status, Entry entry) {
-          if (status == Status::ok && entry.data == job->txn.writes.front().data) {
-            job->done({Status::ok, entry.mark, {}});
-          } else if (status == Status::ok || status == Status::missing) {
-            job->done(reply);
-          } else {
+  commit(
+      job->txn,
+      [this, job](CommitReply reply) {
+        const auto again = [this, job] {
+          if (!job->wanted()) {
+            job->done({Status::unknown, 0, {}});
+            return;
+          }
+          const Seconds pause = std::min(0.05 * (1 << std::min(job->tries++, 4)), 0.5);
+          clock_.after(pause, [this, job] { try_settle(job); });
+        };
+        switch (reply.status) {
+          case Status::unknown:
+            job->in_doubt = true;
+            again();
+            return;
+          case Status::unavailable:
             again();
+            return;
+          case Status::conflict: {
+            if (!job->in_doubt || job->txn.writes.empty()) {
+              job->done(std::move(reply));
+              return;
+            }
+            // Did an earlier copy of this very transaction make its own guards fail?
+            const Write& first = job->txn.writes.front();
+            get(
+                first.key,
+                [job, reply, again](Status status, Entry entry) {
+                  if (status == Status::ok && entry.data == job->txn.writes.front().data) {
+                    job->done({Status::ok, entry.mark, {}});
+                  } else if (status == Status::ok || status == Status::missing) {
+                    job->done(reply);
+                  } else {
+                    again();
+                  }
+                },
+                job->use);
+            return;
           }
-        });
-        return;
-      }
-      default:
-        job->done(std::move(reply));
-    }
-  });
+          default:
+            job->done(std::move(reply));
+        }
+      },
+      job->use);
 }
 
 void StateClient::grant(Seconds life, std::function<void(Status, std::uint64_t)> done) {
   const auto life_ms = static_cast<std::uint64_t>(std::clamp(life * 1000, 100.0, 600'000.0));
-  submit({"POST", "/grants", Json{{"lifeMs", life_ms}}.dump()}, timeout_, 0, true,
+  submit({"POST", "/grants", Json{{"lifeMs", life_ms}}.dump()}, timeout_, 0, Use::lease,
          [done = std::move(done)](Status status, transport::Response response) {
            std::uint64_t lease = 0;
            if (status == Status::ok) {
@@ -298,12 +308,12 @@
 }
 
 void StateClient::extend(std::uint64_t lease, std::function<void(Status)> done) {
-  submit({"POST", "/grants/" + std::to_string(lease) + "/extend", ""}, timeout_, 0, true,
+  submit({"POST", "/grants/" + std::to_string(lease) + "/extend", ""}, timeout_, 0, Use::lease,
          [done = std::move(done)](Status status, const transport::Response&) { done(status); });
 }
 
 void StateClient::release(std::uint64_t lease) {
-  submit({"DELETE", "/grants/" + std::to_string(lease), ""}, timeout_, 0, false,
+  submit({"DELETE", "/grants/" + std::to_string(lease), ""}, timeout_, 0, Use::work,
          [](Status, const transport::Response&) {});
 }
 
@@ -311,7 +321,7 @@
                         std::function<void(WatchReply)> done) {
   const std::string target = "/watch?starts=" + prefix + "&since=" + std::to_string(since) +
                              "&blockMs=" + std::to_string(static_cast<long>(block * 1000));
-  submit({"GET", target, ""}, block + timeout_, 0, true,
+  submit({"GET", target, ""}, block + timeout_, 0, Use::lease,
          [done = std::move(done)](Status status, transport::Response response) {
            WatchReply reply;
            reply.status = status;
--- a/src/storage/state_client.hpp
+++ b/src/storage/state_client.hpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <deque>
 #include <functional>
+#include <map>
 #include <memory>
 #include <optional>
 #include <string>
@@ -19,6 +20,14 @@
 using protocol::Json;
 using transport::Seconds;
 
+// Whose call goes first when the node's part of the limits does not serve all at once.
+enum class Use {
+  lease,  // renewals and watches: never wait
+  user,   // somebody is waiting for the answer
+  work,   // placements and completions
+  help,   // what only saves time later
+};
+
 enum class Status {
   ok,
   missing,      // no such key or lease
@@ -90,14 +99,15 @@
   // The part of the service's limits this node may use, between 0 and 1.
   void set_share(double share);
 
-  void get(const std::string& key, std::function<void(Status, Entry)> done);
+  void get(const std::string& key, std::function<void(Status, Entry)> done, Use use = Use::work);
   void list(const std::string& prefix, const std::string& after,
             std::function<void(ListReply)> done);
-  void commit(const Transaction& txn, std::function<void(CommitReply)> done, bool urgent = false);
+  void commit(const Transaction& txn, std::function<void(CommitReply)> done, Use use = Use::work);
   // Commits until the outcome is certain: a transaction whose answer is lost is sent again as it
   // was, and a guard that then fails is told from the transaction's own effect by reading back its
   // first write. Gives up, with `unknown`, when `wanted` says no more.
-  void settle(Transaction txn, std::function<bool()> wanted, std::function<void(CommitReply)> done);
+  void settle(Transaction txn, std::function<bool()> wanted, std::function<void(CommitReply)> done,
+              Use use = Use::work);
   void grant(Seconds life, std::function<void(Status, std::uint64_t)> done);
   void extend(std::uint64_t lease, std::function<void(Status)> done);
   void release(std::uint64_t lease);
@@ -120,7 +130,7 @@
     Seconds queued_at;
     std::function<void(Status, transport::Response)> done;
   };
-  void submit(transport::Request request, Seconds timeout, double changes, bool urgent,
+  void submit(transport::Request request, Seconds timeout, double changes, Use use,
               std::function<void(Status, transport::Response)> done);
   void send(Call call);
   void pump();
@@ -138,7 +148,8 @@
   double tokens_ = 0;
   double write_tokens_ = 0;
   Seconds refilled_at_;
-  std::deque<Call> waiting_;
+  // The most pressing use first; writes apart, so that reads need not wait for the write limit.
+  std::map<std::pair<Use, bool>, std::deque<Call>> waiting_;
   bool pump_armed_ = false;
   Seconds failing_since_ = -1;
   bool answered_ever_ = false;
