--- a/src/coordination/fleet.cpp
+++ b/src/coordination/fleet.cpp
@@ -55,9 +55,9 @@
     }
   }
 
-  FleetPlan run() {
+  FleetPlan run(Seconds start_bound) {
     FleetPlan out;
-    for (Job* job : order_of_work(ledger_, now_)) {
+    for (Job* job : order_of_work(ledger_, now_, start_bound)) {
       cover(job->spec, job->waiting(), zones_for(*job));
     }
     for (const auto& f : forecast(ledger_, now_)) {
@@ -225,8 +225,8 @@
 }
 
 FleetPlan plan_fleet(Ledger& ledger, const Refusals& refusals, const std::map<Market, int>& pending,
-                     Seconds now) {
-  return Round(ledger, refusals, pending, now).run();
+                     Seconds now, Seconds start_bound) {
+  return Round(ledger, refusals, pending, now).run(start_bound);
 }
 
 }  // namespace larkroad::coordination
--- a/src/coordination/fleet.hpp
+++ b/src/coordination/fleet.hpp
@@ -46,6 +46,6 @@
 
 // `pending`: machines asked for without an answer so far.
 FleetPlan plan_fleet(Ledger& ledger, const Refusals& refusals, const std::map<Market, int>& pending,
-                     Seconds now);
+                     Seconds now, Seconds start_bound);
 
 }  // namespace larkroad::coordination
--- a/src/coordination/leader.cpp
+++ b/src/coordination/leader.cpp
@@ -31,8 +31,9 @@
 // An error or a refusal keeps a job or a machine waiting for this many reports.
 constexpr double kPauseReports = 1;
 constexpr double kLongestPauseReports = 16;
-// How long a gang may hold room while it lacks some: the design's 20 s.
-constexpr Seconds kHold = 20;
+// A round of planning is followed by a pause of this many times what it took: the process has
+// reports and users to answer, too.
+constexpr double kPlanPause = 3;
 
 }  // namespace
 
@@ -927,7 +928,8 @@
 void Leader::request_plan() {
   if (plan_armed_ || !ready_) return;
   plan_armed_ = true;
-  later(settings_.report_s * kPlanDelayRatio, [this] {
+  const Seconds pause = std::max(settings_.report_s * kPlanDelayRatio, plan_next_ - clock_.now());
+  later(pause, [this] {
     plan_armed_ = false;
     make_plan();
   });
@@ -937,7 +939,8 @@
   if (!ready_ || !election_.leads()) return;
   const Seconds begun = clock_.now();
   PlanLimits limits;
-  limits.hold_s = kHold;
+  limits.hold_s = settings_.operators.hold_s;
+  limits.start_bound_s = settings_.operators.start_bound_s;
   limits.start_at = plan_from_;
   limits.out_of_time = [this, begun] {
     return clock_.now() - begun > settings_.report_s * kTickRatio * kPlanBudgetRatio;
@@ -972,6 +975,7 @@
     spdlog::info("task {}/{} gives way to {}", victim.job, victim.task, victim.for_job);
     stop(*job, it->second, victim.save ? grace(*job) : 0);
   }
+  plan_next_ = clock_.now() + (clock_.now() - begun) * kPlanPause;
   if (plan_from_ != 0) request_plan();
 }
 
@@ -981,7 +985,8 @@
   if (!election_.leads() || !catalog_.known()) return;
   // Until the machines of an earlier leader have had time to report, what is there is not known.
   if (!listed_once_ || clock_.now() - ready_at_ < settings_.report_s * 1.5) return;
-  const FleetPlan decided = plan_fleet(ledger_, refusals_, pending_rentals_, clock_.now());
+  const FleetPlan decided = plan_fleet(ledger_, refusals_, pending_rentals_, clock_.now(),
+                                       settings_.operators.start_bound_s);
   for (const auto& wanted : decided.rent) rent(wanted.market, wanted.count);
   if (!decided.give_back.empty()) give_back(decided.give_back);
 }
--- a/src/coordination/leader.hpp
+++ b/src/coordination/leader.hpp
@@ -123,6 +123,7 @@
   Seconds catalog_asked_at_ = 0;
   bool plan_armed_ = false;
   size_t plan_from_ = 0;
+  Seconds plan_next_ = 0;  // no round before this
   bool fence_wanted_ = false;
   Seconds fenced_at_ = 0;
 };
--- a/src/coordination/node.cpp
+++ b/src/coordination/node.cpp
@@ -15,6 +15,12 @@
 constexpr double kUnhealthyRatio = 1.0 / 8;
 // The leader's part of the state service's limits; the other nodes share the rest.
 constexpr double kLeaderShare = 0.5;
+// What a peer said of itself counts for this many report intervals.
+constexpr double kServesRatio = 1;
+// Users wait 2 s for the answer to a query, of which this node has used up to 1.5 s.
+constexpr Seconds kForwardWithin = 0.5;
+constexpr const char* kPeerPath = "/peer";
+constexpr const char* kUserPath = "/user";
 
 }  // namespace
 
@@ -67,7 +73,66 @@
     respond(checkin(request.body));
     return;
   }
-  front_.handle(std::move(request), std::move(respond));
+  // What this node cannot ask the state service another one perhaps can. All of the users' calls
+  // may be repeated, so it does no harm if this node's own try is carried out after all.
+  auto kept = std::make_shared<transport::Request>(request);
+  front_.handle(std::move(request), [this, kept,
+                                     respond = std::move(respond)](transport::Response response) {
+    const PeerSettings* peer =
+        response.status == 503 && kept->target != protocol::kHealthPath ? serving_peer() : nullptr;
+    if (peer == nullptr || kept->body.size() > transport::kBodyLimit / 4) {
+      respond(std::move(response));
+    } else {
+      forward(*peer, *kept, std::move(response), respond);
+    }
+  });
+}
+
+const PeerSettings* Node::serving_peer() {
+  const Seconds now = clock_.now();
+  for (size_t i = 0; i < settings_.peers.size(); ++i) {
+    const PeerSettings& peer = settings_.peers[next_peer_++ % settings_.peers.size()];
+    const auto it = peer_serves_.find(peer.member);
+    if (it != peer_serves_.end() && now - it->second < settings_.report_s * kServesRatio) {
+      return &peer;
+    }
+  }
+  return nullptr;
+}
+
+void Node::forward(const PeerSettings& peer, const transport::Request& request,
+                   transport::Response own, transport::Respond respond) {
+  const protocol::Json message{
+      {"method", request.method}, {"target", request.target}, {"body", request.body}};
+  client_.call(peer.addr.text(), {"POST", kUserPath, message.dump()}, kForwardWithin,
+               [own = std::move(own), respond = std::move(respond)](
+                   transport::Outcome outcome, const transport::Response& response) {
+                 if (outcome == transport::Outcome::answered && response.status == 200) {
+                   try {
+                     const auto json = protocol::parse_object(response.body);
+                     respond({static_cast<int>(protocol::integer(json, "status")),
+                              protocol::text(json, "body"),
+                              static_cast<int>(protocol::integer(json, "retry_after"))});
+                     return;
+                   } catch (const std::exception& error) {
+                     spdlog::error("peer: {}", error.what());
+                   }
+                 }
+                 respond(own);
+               });
+}
+
+void Node::forwarded(const std::string& body, transport::Respond respond) {
+  const auto message = protocol::parse_object(body);
+  // Answered here or not at all: it is not sent on once more.
+  front_.handle({protocol::text(message, "method"), protocol::text(message, "target"),
+                 protocol::text(message, "body")},
+                [respond = std::move(respond)](const transport::Response& response) {
+                  const protocol::Json answer{{"status", response.status},
+                                              {"body", response.body},
+                                              {"retry_after", response.retry_after_s}};
+                  respond({200, answer.dump(), 0});
+                });
 }
 
 transport::Response Node::checkin(const std::string& body) {
@@ -102,17 +167,21 @@
   }
   const std::string body = message.dump();
   for (const auto& peer : settings_.peers) {
-    client_.call(peer.addr.text(), {"POST", "/peer", body}, settings_.report_s * kTellRatio,
+    client_.call(peer.addr.text(), {"POST", kPeerPath, body}, settings_.report_s * kTellRatio,
                  [](transport::Outcome, const transport::Response&) {});
   }
 }
 
 void Node::handle_peer(transport::Request request, transport::Respond respond) {
-  if (request.target != "/peer" || request.method != "POST") {
+  if ((request.target != kPeerPath && request.target != kUserPath) || request.method != "POST") {
     respond({404, "{}", 0});
     return;
   }
   try {
+    if (request.target == kUserPath) {
+      forwarded(request.body, respond);
+      return;
+    }
     const auto message = protocol::parse_object(request.body);
     if (protocol::boolean(message, "served")) {
       peer_serves_[protocol::text(message, "member")] = clock_.now();
--- a/src/coordination/node.hpp
+++ b/src/coordination/node.hpp
@@ -27,6 +27,12 @@
   transport::Response checkin(const std::string& body);
   void tell_peers();
   bool healthy();
+  // A peer that the state service answers at present; nullptr when none is known.
+  const PeerSettings* serving_peer();
+  // Has a peer answer a user's call that this node cannot; with its own answer if that fails.
+  void forward(const PeerSettings& peer, const transport::Request& request, transport::Response own,
+               transport::Respond respond);
+  void forwarded(const std::string& body, transport::Respond respond);
 
   transport::Clock& clock_;
   transport::Client& client_;
@@ -38,6 +44,7 @@
   Leader leader_;
   // When each peer last said that the state service answers it.
   std::map<std::string, Seconds> peer_serves_;
+  size_t next_peer_ = 0;
 };
 
 }  // namespace larkroad::coordination
--- a/src/coordination/planner.cpp
+++ b/src/coordination/planner.cpp
@@ -2,7 +2,9 @@
 
 #include <algorithm>
 #include <cmath>
+#include <set>
 #include <tuple>
+#include <unordered_map>
 
 #include "coordination/forecast.hpp"
 
@@ -16,58 +18,68 @@
 
 // A machine with its room in this round, less what others hold.
 struct Slot {
-  Machine* machine;
+  Machine* machine = nullptr;
+  size_t pool = 0;
   Resources room;
+  Resources coming;  // of what is being stopped on it, less what is claimed of that
+};
+
+// Machines of one type, zone and kind: what a job may use is decided once for them all.
+struct Pool {
+  const MachineType* type = nullptr;
+  std::string zone;
+  bool spot = false;
+  std::vector<Slot*> slots;
 };
 
 // Room kept for what may come of a more important class.
 struct Reserve {
   const JobSpec* spec;
-  double missing;  // tasks that are to find room
-  double fits;     // tasks that find room at present
+  double missing;             // tasks that are to find room
+  double fits;                // tasks that find room at present
+  std::vector<bool> allowed;  // by pool
   std::map<std::string, double> missing_by_team;
 };
 
-// What placing a task here costs, in seconds of somebody's time.
-double cost(const Job& job, const Slot& slot, const Ledger& ledger) {
-  const MachineType* type = ledger.type(slot.machine->type);
-  double out = 0;
-  if (!slot.machine->images.contains(job.spec.image) && type != nullptr) {
-    out += fetch_time(job.spec, *type);
-  }
-  if (job.spec.gpus == 0 && slot.machine->capacity.gpus > 0) {
-    // Work that needs no GPU leaves the machines that have some to work that does, unless it
-    // would wait for its image elsewhere.
-    out += ledger.settings().report_s;
-  }
-  // Best fit: the less room remains, the better the rest of the fleet can take large tasks.
-  Resources rest = slot.room;
-  rest -= needs_of(job.spec);
-  const auto part = [](double left, double all) { return all > 0 ? left / all : 0; };
-  const Resources& all = slot.machine->capacity;
-  return out + (part(rest.cpus, all.cpus) + part(rest.memory_gb, all.memory_gb)) / 2;
-}
+// A need for which no room was left in this round. Room only shrinks within a round, so whatever
+// needs as much of the same pools, and is no more important, need not be tried.
+struct Failed {
+  std::vector<bool> allowed;
+  Resources need;
+  protocol::Priority priority;
+};
 
 class Round {
  public:
   Round(Ledger& ledger, Holds& holds, Seconds now, const PlanLimits& limits)
       : ledger_(ledger), holds_(holds), now_(now), limits_(limits) {
+    slots_.reserve(ledger_.machines().size());
+    std::map<std::tuple<const MachineType*, std::string, bool>, size_t> pool_of;
     for (auto& [name, machine] : ledger_.machines()) {
-      if (!machine.usable(now)) continue;
-      Resources room = machine.room();
-      for (const auto& [job, hold] : holds_.all()) {
-        const auto held = hold.tasks.find(name);
-        if (held == hold.tasks.end()) continue;
-        for (std::uint32_t i = 0; i < held->second; ++i) room -= hold.each;
+      const MachineType* type = ledger_.type(machine.type);
+      if (type == nullptr || !machine.usable(now)) continue;
+      const auto [at, made] =
+          pool_of.try_emplace({type, machine.zone, machine.spot}, pools_.size());
+      if (made) pools_.push_back({type, machine.zone, machine.spot, {}});
+      slots_.push_back({&machine, at->second, machine.room(), {}});
+    }
+    for (Slot& slot : slots_) {
+      pools_[slot.pool].slots.push_back(&slot);
+      by_name_[slot.machine->name] = &slot;
+    }
+    for (const auto& [job, hold] : holds_.all()) {
+      for (const auto& [name, count] : hold.tasks) {
+        if (Slot* slot = slot_of(name)) take_room(slot->room, hold.each, count);
       }
-      slots_.push_back({&machine, room});
     }
     for (const auto& f : forecast(ledger_, now_)) {
-      Reserve reserve{f.spec, f.missing(), 0, {}};
+      Reserve reserve{f.spec, f.missing(), 0, allowed_pools(*f.spec), {}};
+      const Resources need = needs_of(*f.spec);
       double most = 0;
       for (const Slot& slot : slots_) {
-        reserve.fits += fits(*f.spec, slot, slot.room);
-        most += fits(*f.spec, slot, slot.machine->capacity);
+        if (!reserve.allowed[slot.pool]) continue;
+        reserve.fits += slot.room.times(need);
+        most += slot.machine->capacity.times(need);
       }
       // However much may come, the less important work keeps its part of the machines.
       reserve.missing = std::min(reserve.missing, most * kReserveMost);
@@ -82,34 +94,40 @@
 
   Plan run() {
     Plan out;
-    const auto jobs = order_of_work(ledger_, now_);
-    for (size_t i = limits_.start_at; i < jobs.size(); ++i) {
-      if (i > limits_.start_at && limits_.out_of_time()) {
+    const auto jobs = order_of_work(ledger_, now_, limits_.start_bound_s);
+    for (size_t i = 0; i < jobs.size(); ++i) {
+      Job* job = jobs[i];
+      // Urgent work comes first in every round, so that its claims stand and what arrives
+      // meanwhile does not queue behind the rest; that goes on where the last round stopped.
+      const bool first = job->spec.priority <= protocol::Priority::high;
+      if (i < limits_.start_at && !first) continue;
+      if (i > limits_.start_at && !first && limits_.out_of_time()) {
         out.stopped_at = i;
         break;
       }
-      Job* job = jobs[i];
       if (job->busy || now_ < job->retry_at) continue;
       const std::uint32_t quota = quota_room(*job);
-      if (quota == 0) {
-        unplaced(*job, out);
-        continue;
-      }
       Assignment assignment{job->id(), {}};
-      if (job->spec.gang) {
-        place_gang(*job, quota, assignment);
-      } else {
-        const auto tasks = waiting_tasks(*job, quota);
-        for (const auto& [slot, task] : choose(*job, tasks)) {
-          assignment.tasks.emplace_back(task, slot->machine->name);
+      if (quota > 0) {
+        if (job->spec.gang) {
+          place_gang(*job, quota, assignment);
+        } else if (!hopeless(*job)) {
+          const auto tasks = waiting_tasks(*job, quota);
+          const Choice choice = choose(*job, tasks);
+          if (choice.size() < tasks.size() && !job->spec.spread && !job->spec.one_zone) {
+            failed_.push_back({allowed_pools(job->spec), needs_of(job->spec), job->spec.priority});
+          }
+          for (const auto& [slot, task] : choice) {
+            assignment.tasks.emplace_back(task, slot->machine->name);
+          }
         }
       }
       if (assignment.tasks.empty()) {
-        unplaced(*job, out);
+        if (may_preempt(*job)) preempt_for(*job, out);
         continue;
       }
-      Resources& taken = taken_[job->spec.team];
-      for (size_t i = 0; i < assignment.tasks.size(); ++i) taken += needs_of(job->spec);
+      take_room(taken_[job->spec.team], needs_of(job->spec),
+                -static_cast<double>(assignment.tasks.size()));
       out.assignments.push_back(std::move(assignment));
     }
     return out;
@@ -118,31 +136,75 @@
  private:
   using Choice = std::vector<std::pair<Slot*, std::uint32_t>>;
 
-  std::uint32_t quota_room(const Job& job) const {
+  static void take_room(Resources& room, const Resources& each, double count) {
+    room.cpus -= each.cpus * count;
+    room.gpus -= each.gpus * count;
+    room.memory_gb -= each.memory_gb * count;
+  }
+
+  Slot* slot_of(const std::string& machine) const {
+    const auto it = by_name_.find(machine);
+    return it == by_name_.end() ? nullptr : it->second;
+  }
+
+  std::vector<bool> allowed_pools(const JobSpec& spec) const {
+    std::vector<bool> out;
+    out.reserve(pools_.size());
+    for (const Pool& pool : pools_) out.push_back(allows(spec, *pool.type, pool.zone, pool.spot));
+    return out;
+  }
+
+  bool hopeless(const Job& job) const {
+    if (failed_.empty()) return false;
+    const auto allowed = allowed_pools(job.spec);
+    const Resources need = needs_of(job.spec);
+    return std::any_of(failed_.begin(), failed_.end(), [&](const Failed& f) {
+      return f.priority <= job.spec.priority && need.fits(f.need) && f.allowed == allowed;
+    });
+  }
+
+  // What the team's limit leaves, counting what this round has given away.
+  Resources quota_left(const Job& job) const {
     const TeamSettings* team = ledger_.settings().team(job.spec.team);
-    if (team == nullptr) return 0;
+    if (team == nullptr) return {};
     Resources used = ledger_.used_by(job.spec.team);
-    const auto it = taken_.find(job.spec.team);
-    if (it != taken_.end()) used += it->second;
-    const auto claimed = claimed_.find(job.spec.team);
-    if (claimed != claimed_.end()) used += claimed->second;
+    for (const auto* more : {&taken_, &claimed_}) {
+      const auto it = more->find(job.spec.team);
+      if (it != more->end()) used += it->second;
+    }
+    return {team->cpus_max - used.cpus, team->gpus_max - used.gpus, 1e12};
+  }
+
+  std::uint32_t quota_room(const Job& job) const {
+    Resources left = quota_left(job);
     // What may come of the team's more important work keeps its part of the limit.
     for (const Reserve& reserve : reserves_) {
       if (reserve.spec->priority >= job.spec.priority) continue;
       const auto missing = reserve.missing_by_team.find(job.spec.team);
       if (missing == reserve.missing_by_team.end()) continue;
-      used.cpus += missing->second * reserve.spec->cpus;
-      used.gpus += missing->second * reserve.spec->gpus;
+      left.cpus -= missing->second * reserve.spec->cpus;
+      left.gpus -= missing->second * reserve.spec->gpus;
     }
-    const Resources left{team->cpus_max - used.cpus, team->gpus_max - used.gpus, 1e12};
     return left.times({job.spec.cpus, job.spec.gpus, 0});
   }
 
-  // How many tasks of this kind the room of a slot's machine takes.
-  double fits(const JobSpec& spec, const Slot& slot, const Resources& room) const {
-    const MachineType* type = ledger_.type(slot.machine->type);
-    if (type == nullptr || !allows(spec, *type, slot.machine->zone, slot.machine->spot)) return 0;
-    return room.times(needs_of(spec));
+  // What placing a task here costs, in seconds of somebody's time.
+  double cost(const Job& job, const Slot& slot) const {
+    const Pool& pool = pools_[slot.pool];
+    const Seconds report = ledger_.settings().report_s;
+    double out = 0;
+    if (!slot.machine->images.contains(job.spec.image)) out += fetch_time(job.spec, *pool.type);
+    // Work that needs no GPU leaves the machines that have some to work that does, unless it
+    // would wait for its image elsewhere.
+    if (job.spec.gpus == 0 && pool.type->gpus > 0) out += report;
+    // Spot machines first: what may not use them has only the others.
+    if (job.spec.spot && !pool.spot) out += report;
+    // Best fit: the less room remains, the better the rest of the fleet can take large tasks.
+    Resources rest = slot.room;
+    rest -= needs_of(job.spec);
+    const auto part = [](double left, double all) { return all > 0 ? left / all : 0; };
+    const Resources& all = slot.machine->capacity;
+    return out + (part(rest.cpus, all.cpus) + part(rest.memory_gb, all.memory_gb)) / 2;
   }
 
   // How much room for more important classes a task of this job would take on this slot; negative
@@ -150,170 +212,45 @@
   double displaced(const Job& job, const Slot& slot) const {
     double out = 0;
     for (const Reserve& reserve : reserves_) {
-      if (reserve.spec->priority >= job.spec.priority) continue;
-      Resources rest = slot.room;
-      rest -= needs_of(job.spec);
-      const double loss = fits(*reserve.spec, slot, slot.room) - fits(*reserve.spec, slot, rest);
+      if (reserve.spec->priority >= job.spec.priority || !reserve.allowed[slot.pool]) continue;
+      const double loss = lost_fits(reserve, job, slot);
       if (loss > 0 && reserve.fits - loss < reserve.missing) return -1;
       out += loss;
     }
     return out;
   }
 
+  double lost_fits(const Reserve& reserve, const Job& job, const Slot& slot) const {
+    const Resources need = needs_of(*reserve.spec);
+    Resources rest = slot.room;
+    rest -= needs_of(job.spec);
+    return static_cast<double>(slot.room.times(need)) - rest.times(need);
+  }
+
   void take(const Job& job, Slot& slot) {
     for (Reserve& reserve : reserves_) {
-      const double before = fits(*reserve.spec, slot, slot.room);
-      Resources rest = slot.room;
-      rest -= needs_of(job.spec);
-      reserve.fits -= before - fits(*reserve.spec, slot, rest);
+      if (reserve.allowed[slot.pool]) reserve.fits -= lost_fits(reserve, job, slot);
     }
     slot.room -= needs_of(job.spec);
   }
 
-  bool pressed(const Job& job) const {
-    const Seconds run = ledger_.expected_run(job.spec);
-    for (const Seconds due : due_times(ledger_, job)) {
-      if (due - run > now_) return now_ - job.submitted > (due - run - job.submitted) / 2;
-    }
-    return false;
-  }
-
-  void unplaced(const Job& job, Plan& out) {
-    // One task of a job in a round. Work that is not urgent first gives room half the time that
-    // its next aim leaves to come free by itself.
-    if (job.spec.priority >= protocol::Priority::low) return;
-    if (job.spec.priority == protocol::Priority::normal && !pressed(job)) return;
-    if (job.spec.gang && job.waiting() > 1) return;
-    preempt_for(job, out);
-  }
-
-  // Room on a slot once all that is being stopped there is gone, less what is claimed of it.
-  Resources coming(const Slot& slot) const {
-    Resources room = slot.room;
-    for (const auto& id : slot.machine->tasks) {
-      const Job* other = ledger_.job(id.job);
-      if (other != nullptr && (other->live.at(id.task).stopping || stopped_.contains(id))) {
-        room += needs_of(other->spec);
+  void give_back(const Job& job, const Choice& choice) {
+    for (const auto& [slot, task] : choice) {
+      slot->room += needs_of(job.spec);
+      for (Reserve& reserve : reserves_) {
+        if (reserve.allowed[slot->pool]) reserve.fits += lost_fits(reserve, job, *slot);
       }
     }
-    return room;
   }
 
-  // Stops less important tasks where that makes room for a job that found none, and claims that
-  // room and the part of the team's limit: what the first of them leaves must not go to less
-  // important work before the last has left. What is being stopped already counts as room to
-  // come, so that nothing is stopped twice for one need.
-  void preempt_for(const Job& job, Plan& out) {
-    const TeamSettings* team = ledger_.settings().team(job.spec.team);
-    if (team == nullptr) return;
-    Resources used = ledger_.used_by(job.spec.team);
-    used += taken_[job.spec.team];
-    used += claimed_[job.spec.team];
-    for (const auto& [id, other] : ledger_.jobs()) {
-      if (other->spec.team != job.spec.team) continue;
-      for (const auto& [task, placement] : other->live) {
-        if (placement.stopping || stopped_.contains({id, task})) used -= needs_of(other->spec);
-      }
-    }
-    const Resources left{team->cpus_max - used.cpus, team->gpus_max - used.gpus, 1e12};
-    const Resources need = needs_of(job.spec);
-    Slot* best = nullptr;
-    std::vector<Preemption> best_victims;
-    double best_loss = 0;
-    for (Slot& slot : slots_) {
-      const MachineType* type = ledger_.type(slot.machine->type);
-      if (type == nullptr || !allows(job.spec, *type, slot.machine->zone, slot.machine->spot)) {
-        continue;
-      }
-      std::vector<Preemption> victims;
-      double loss = 0;
-      if (!slot.machine->images.contains(job.spec.image)) loss += fetch_time(job.spec, *type);
-      if (!gather(job, slot, left, victims, loss)) continue;
-      if (best == nullptr || loss < best_loss) {
-        best = &slot;
-        best_loss = loss;
-        best_victims = std::move(victims);
-      }
-    }
-    if (best == nullptr) return;
-    for (const auto& victim : best_victims) stopped_.insert({victim.job, victim.task});
-    best->room -= need;
-    claimed_[job.spec.team] += need;
-    out.preemptions.insert(out.preemptions.end(), best_victims.begin(), best_victims.end());
-  }
+  // ------------------------------------------------------------ placing
 
-  // Whether an aim of the job is still to be met that saving first would miss.
-  bool in_a_hurry(const Job& job, Seconds save) const {
-    const Seconds run = ledger_.expected_run(job.spec);
-    for (const Seconds due : due_times(ledger_, job)) {
-      const Seconds start = due - run;
-      if (start > now_ && start < now_ + save + ledger_.settings().report_s / 4) return true;
-    }
-    return false;
-  }
-
-  // The cheapest tasks of a machine, or of the team where only its limit is in the way, that make
-  // room for a task of the job once they are stopped. False when there are none such; true
-  // without victims when there will be room anyway.
-  bool gather(const Job& job, const Slot& slot, const Resources& left,
-              std::vector<Preemption>& victims, double& loss) const {
-    struct Victim {
-      const Job* job;
-      const Placement* placement;
-      double loss;
-      bool save;
-    };
-    const Resources need = needs_of(job.spec);
-    const Resources limit_need{need.cpus, need.gpus, 0};
-    Resources room = coming(slot);
-    Resources quota = left;
-    std::vector<Victim> able;
-    const auto consider = [&](const TaskId& id) {
-      const Job* other = ledger_.job(id.job);
-      if (other == nullptr || other->spec.priority <= job.spec.priority) return;
-      if (other->spec.gang && other->spec.tasks > 1) return;
-      const Placement& p = other->live.at(id.task);
-      if (p.stopping || p.stage != Placement::Stage::held || stopped_.contains(id)) return;
-      if (p.state == TaskState::saving) return;
-      // What is lost: the time to save, or all since the last checkpoint.
-      const Seconds ran = p.running_since < 0 ? 0 : now_ - p.running_since;
-      const Seconds since =
-          other->spec.checkpoint_s > 0 ? std::fmod(ran, other->spec.checkpoint_s) : ran;
-      const bool save = other->spec.checkpoint_s > 0 && since > other->spec.save_s &&
-                        !in_a_hurry(job, other->spec.save_s);
-      able.push_back({other, &p, save ? other->spec.save_s : since, save});
-    };
-    if (room.fits(need)) {
-      // Only the limit is in the way: any of the team's tasks will do.
-      for (const auto& [id, other] : ledger_.jobs()) {
-        if (other->spec.team != job.spec.team) continue;
-        for (const auto& [task, placement] : other->live) consider({id, task});
-      }
-    } else {
-      for (const auto& id : slot.machine->tasks) consider(id);
-    }
-    std::sort(able.begin(), able.end(), [](const Victim& a, const Victim& b) {
-      return std::make_tuple(-static_cast<int>(a.job->spec.priority), a.loss, a.job->id(),
-                             a.placement->task) <
-             std::make_tuple(-static_cast<int>(b.job->spec.priority), b.loss, b.job->id(),
-                             b.placement->task);
-    });
-    for (const Victim& v : able) {
-      if (room.fits(need) && quota.fits(limit_need)) break;
-      const bool same_team = v.job->spec.team == job.spec.team;
-      if (room.fits(need) && !same_team) continue;
-      if (v.placement->machine == slot.machine->name) room += needs_of(v.job->spec);
-      if (same_team) quota += needs_of(v.job->spec);
-      loss += v.loss;
-      victims.push_back({v.job->id(), v.placement->task, v.save, job.id()});
-    }
-    return room.fits(need) && quota.fits(limit_need);
-  }
-
-  bool allowed(const Job& job, const Slot& slot) const {
-    const MachineType* type = ledger_.type(slot.machine->type);
-    return type != nullptr && allows(job.spec, *type, slot.machine->zone, slot.machine->spot) &&
-           slot.room.fits(needs_of(job.spec));
+  // The cost of one more task on a slot; negative when it can't be there.
+  double offer(const Job& job, const Slot& slot) const {
+    if (!slot.room.fits(needs_of(job.spec))) return -1;
+    const double lost = displaced(job, slot);
+    if (lost < 0) return -1;
+    return cost(job, slot) + lost * ledger_.settings().report_s * kDisplacedReports;
   }
 
   // Chooses a machine for each of `tasks`, as far as there is room, and takes it from the slots.
@@ -326,17 +263,18 @@
         live_zone = m->zone;
       }
     }
-    if (!job.spec.one_zone || tasks.size() <= 1) {
-      return choose_in(job, tasks, job.spec.one_zone ? live_zone : "", in_zone);
-    }
-    if (!live_zone.empty()) return choose_in(job, tasks, live_zone, in_zone);
-    // All in one zone, none chosen yet: the zone that takes the most.
+    if (!job.spec.one_zone) return choose_in(job, tasks, "", in_zone);
+    if (!live_zone.empty() || tasks.size() <= 1) return choose_in(job, tasks, live_zone, in_zone);
+    // All in one zone, none chosen yet: the zone that takes the most, and of those the cheapest.
     Choice best;
+    double best_cost = 0;
     for (const auto& zone : ledger_.settings().zones) {
-      Choice choice = choose_in(job, tasks, zone, in_zone);
-      if (choice.size() > best.size()) {
+      double cost = 0;
+      Choice choice = choose_in(job, tasks, zone, in_zone, &cost);
+      if (choice.size() > best.size() || (choice.size() == best.size() && cost < best_cost)) {
         give_back(job, best);
         best = std::move(choice);
+        best_cost = cost;
       } else {
         give_back(job, choice);
       }
@@ -344,69 +282,74 @@
     return best;
   }
 
-  // Spot machines first: what may not use them has only the others.
-  double kind_cost(const Job& job, const Slot& slot) const {
-    return job.spec.spot && !slot.machine->spot ? ledger_.settings().report_s : 0;
-  }
-
   Choice choose_in(const Job& job, const std::vector<std::uint32_t>& tasks, const std::string& zone,
-                   std::map<std::string, std::uint32_t> in_zone) {
+                   std::map<std::string, std::uint32_t> in_zone, double* total = nullptr) {
+    using Offer = std::pair<double, Slot*>;
+    const auto dearer = [](const Offer& a, const Offer& b) {
+      return std::tie(a.first, a.second->machine->name) >
+             std::tie(b.first, b.second->machine->name);
+    };
+    std::vector<Offer> offers;
+    for (Pool& pool : pools_) {
+      if (!zone.empty() && pool.zone != zone) continue;
+      if (!allows(job.spec, *pool.type, pool.zone, pool.spot)) continue;
+      for (Slot* slot : pool.slots) {
+        const double price = offer(job, *slot);
+        if (price >= 0) offers.emplace_back(price, slot);
+      }
+    }
+    std::make_heap(offers.begin(), offers.end(), dearer);
     Choice out;
     const std::uint32_t zone_most = (job.spec.tasks + 1) / 2;
-    for (const std::uint32_t task : tasks) {
-      Slot* best = nullptr;
-      double best_cost = 0;
-      for (Slot& slot : slots_) {
-        if (!zone.empty() && slot.machine->zone != zone) continue;
-        if (job.spec.spread && in_zone[slot.machine->zone] >= zone_most) continue;
-        if (!allowed(job, slot)) continue;
-        const double lost = displaced(job, slot);
-        if (lost < 0) continue;
-        const double c = cost(job, slot, ledger_) + kind_cost(job, slot) +
-                         lost * ledger_.settings().report_s * kDisplacedReports;
-        if (best == nullptr || c < best_cost) {
-          best = &slot;
-          best_cost = c;
-        }
+    while (out.size() < tasks.size() && !offers.empty()) {
+      std::pop_heap(offers.begin(), offers.end(), dearer);
+      const auto [price, slot] = offers.back();
+      offers.pop_back();
+      const std::string& there = pools_[slot->pool].zone;
+      if (job.spec.spread && in_zone[there] >= zone_most) continue;
+      // What has been taken meanwhile may have made it dearer, or impossible.
+      const double present = offer(job, *slot);
+      if (present < 0) continue;
+      if (present > price && !offers.empty() && present > offers.front().first) {
+        offers.emplace_back(present, slot);
+        std::push_heap(offers.begin(), offers.end(), dearer);
+        continue;
       }
-      if (best == nullptr) break;
-      take(job, *best);
-      ++in_zone[best->machine->zone];
-      out.emplace_back(best, task);
-    }
-    return out;
-  }
-
-  void give_back(const Job& job, const Choice& choice) {
-    for (const auto& [slot, task] : choice) {
-      Resources more = slot->room;
-      more += needs_of(job.spec);
-      for (Reserve& reserve : reserves_) {
-        reserve.fits += fits(*reserve.spec, *slot, more) - fits(*reserve.spec, *slot, slot->room);
+      take(job, *slot);
+      ++in_zone[there];
+      if (total != nullptr) *total += present;
+      out.emplace_back(slot, tasks[out.size()]);
+      const double again = offer(job, *slot);
+      if (again >= 0) {
+        offers.emplace_back(again, slot);
+        std::push_heap(offers.begin(), offers.end(), dearer);
       }
-      slot->room = more;
     }
+    return out;
   }
 
   void place_gang(Job& job, std::uint32_t quota, Assignment& out) {
     const std::uint32_t wanted = job.waiting();
     if (wanted == 0 || wanted > quota) return;
+    const Holds::Hold* own = holds_.find(job.id());
+    if (own == nullptr && hopeless(job)) return;
     // Its own holds count as room for it alone.
-    if (const Holds::Hold* own = holds_.find(job.id())) {
-      for (Slot& slot : slots_) {
-        const auto held = own->tasks.find(slot.machine->name);
-        if (held == own->tasks.end()) continue;
-        for (std::uint32_t i = 0; i < held->second; ++i) slot.room += own->each;
+    if (own != nullptr) {
+      for (const auto& [name, count] : own->tasks) {
+        if (Slot* slot = slot_of(name))
+          take_room(slot->room, own->each, -static_cast<double>(count));
       }
     }
-    const Seconds expires =
-        holds_.find(job.id()) ? holds_.find(job.id())->expires : now_ + limits_.hold_s;
+    const Seconds expires = own != nullptr ? own->expires : now_ + limits_.hold_s;
     Choice choice = choose(job, waiting_tasks(job, wanted));
     holds_.release(job.id());
     if (choice.size() == wanted) {
       for (const auto& [slot, task] : choice) out.tasks.emplace_back(task, slot->machine->name);
       return;
     }
+    if (choice.empty() && !job.spec.one_zone && !job.spec.spread) {
+      failed_.push_back({allowed_pools(job.spec), needs_of(job.spec), job.spec.priority});
+    }
     // Only the foremost gang that lacks room keeps what it has found: two gangs can then never
     // block each other with half of what each needs, and the pieces held are those of one.
     if (!holder_ && choice.size() > 0) {
@@ -419,14 +362,272 @@
     }
   }
 
+  // ------------------------------------------------------------ preemption
+
+  bool pressed(const Job& job) const {
+    const Seconds run = ledger_.expected_run(job.spec);
+    for (const Seconds due : due_times(ledger_, job)) {
+      if (due - run > now_) return now_ - job.submitted > (due - run - job.submitted) / 2;
+    }
+    return false;
+  }
+
+  bool may_preempt(const Job& job) const {
+    // Work that is not urgent first gives room half the time that its next aim leaves to come
+    // free by itself.
+    if (job.spec.priority >= protocol::Priority::low) return false;
+    return job.spec.priority != protocol::Priority::normal || pressed(job);
+  }
+
+  struct Victim {
+    const Job* job;
+    const Placement* placement;
+    double loss;
+    bool save;
+  };
+
+  // The time left to start the job for its next aim that can still be met.
+  Seconds time_left(const Job& job) const {
+    const Seconds run = ledger_.expected_run(job.spec);
+    for (const Seconds due : due_times(ledger_, job)) {
+      if (due - run > now_) return due - run - now_;
+    }
+    return 1e12;
+  }
+
+  // What stopping a task loses: the time to save, or all since the last checkpoint. Of a gang all
+  // members stop, and what all of them lose counts.
+  Victim victim(const Job& owner, const Placement& p, Seconds left) const {
+    const Seconds ran = p.running_since < 0 ? 0 : now_ - p.running_since;
+    const Seconds since =
+        owner.spec.checkpoint_s > 0 ? std::fmod(ran, owner.spec.checkpoint_s) : ran;
+    const bool save = owner.spec.checkpoint_s > 0 && since > owner.spec.save_s &&
+                      owner.spec.save_s + ledger_.settings().report_s / 4 <= left;
+    const double members = owner.spec.gang ? static_cast<double>(owner.live.size()) : 1;
+    return {&owner, &p, (save ? owner.spec.save_s : since) * members, save};
+  }
+
+  bool stoppable(const Job& owner, const Placement& p) const {
+    if (p.stopping || p.stage != Placement::Stage::held || p.state == TaskState::saving ||
+        stopped_.contains({owner.id(), p.task})) {
+      return false;
+    }
+    if (!owner.spec.gang) return true;
+    // An orderly stop needs every member to be there.
+    return std::all_of(owner.live.begin(), owner.live.end(), [](const auto& entry) {
+      return entry.second.stage == Placement::Stage::held && !entry.second.stopping &&
+             entry.second.state != TaskState::saving;
+    });
+  }
+
+  // Sees once a round what is being stopped, by machine and by team, and what could be.
+  void survey() {
+    if (surveyed_) return;
+    surveyed_ = true;
+    for (const auto& [id, job] : ledger_.jobs()) {
+      for (const auto& [task, p] : job->live) {
+        if (p.stopping) {
+          if (Slot* slot = slot_of(p.machine)) slot->coming += needs_of(job->spec);
+          coming_quota_[job->spec.team] += needs_of(job->spec);
+        } else if (job->spec.priority > protocol::Priority::production && stoppable(*job, p)) {
+          if (slot_of(p.machine) != nullptr) on_slot_[p.machine].push_back({job.get(), &p});
+          of_team_[job->spec.team].push_back({job.get(), &p});
+        }
+      }
+    }
+  }
+
+  // Stops less important tasks where that makes room for a job that found none, and claims that
+  // room and the part of the team's limit: what the first of them leaves must not go to less
+  // important work before the last has left. What is being stopped already counts as room to
+  // come, so that nothing is stopped twice for one need. Of a gang all members find room or
+  // nothing is stopped.
+  void preempt_for(const Job& job, Plan& out) {
+    survey();
+    const std::uint32_t wanted = job.spec.gang ? job.waiting() : 1;
+    if (wanted == 0) return;
+    const Resources need = needs_of(job.spec);
+    const Resources limit_need{need.cpus, need.gpus, 0};
+    const Seconds left = time_left(job);
+    std::vector<Victim> victims;
+    std::vector<std::pair<Slot*, Resources>> before;  // to undo
+    const auto stopped_before = stopped_;
+    const auto quota_before = coming_quota_;
+    const auto stop = [&](const Victim& v) {
+      // With one task of a gang all of them go.
+      for (const auto& [task, p] : v.job->live) {
+        if (!v.job->spec.gang && task != v.placement->task) continue;
+        stopped_.insert({v.job->id(), task});
+        if (Slot* slot = slot_of(p.machine)) {
+          before.emplace_back(slot, slot->coming);
+          slot->coming += needs_of(v.job->spec);
+        }
+        coming_quota_[v.job->spec.team] += needs_of(v.job->spec);
+        victims.push_back({v.job, &p, v.loss, v.save});
+      }
+    };
+    const auto undo = [&] {
+      for (auto it = before.rbegin(); it != before.rend(); ++it) it->first->coming = it->second;
+      stopped_ = stopped_before;
+      coming_quota_ = quota_before;
+    };
+    const auto by_loss = [](const Victim& a, const Victim& b) {
+      return std::make_tuple(-static_cast<int>(a.job->spec.priority), a.loss, a.job->id(),
+                             a.placement->task) <
+             std::make_tuple(-static_cast<int>(b.job->spec.priority), b.loss, b.job->id(),
+                             b.placement->task);
+    };
+    const auto able = [&](const std::vector<std::pair<const Job*, const Placement*>>& from) {
+      std::vector<Victim> list;
+      for (const auto& [owner, p] : from) {
+        if (owner->spec.priority > job.spec.priority &&
+            !stopped_.contains({owner->id(), p->task})) {
+          list.push_back(victim(*owner, *p, left));
+        }
+      }
+      std::sort(list.begin(), list.end(), by_loss);
+      return list;
+    };
+
+    // The team's limit first: any less important task of the team will do.
+    const auto quota_fits = [&] {
+      Resources left = quota_left(job);
+      left += coming_quota_[job.spec.team];
+      return left.times(limit_need) >= wanted;
+    };
+    if (!quota_fits()) {
+      for (const Victim& v : able(of_team_[job.spec.team])) {
+        if (quota_fits()) break;
+        if (!stopped_.contains({v.job->id(), v.placement->task})) stop(v);
+      }
+      if (!quota_fits()) {
+        undo();
+        return;
+      }
+    }
+
+    // Then room: the cheapest machine for each task, again and again.
+    std::string live_zone;
+    if (job.spec.one_zone) {
+      for (const auto& [task, p] : job.live) {
+        if (const Machine* m = ledger_.find_machine(p.machine)) live_zone = m->zone;
+      }
+    }
+    const Holds::Hold* own = holds_.find(job.id());
+    const auto room_on = [&](const Slot& slot) {
+      Resources room = slot.room;
+      room += slot.coming;
+      if (own != nullptr) {
+        const auto held = own->tasks.find(slot.machine->name);
+        if (held != own->tasks.end()) {
+          take_room(room, own->each, -static_cast<double>(held->second));
+        }
+      }
+      return room;
+    };
+    // What one more task on a slot costs, and whom it stops; negative when it can't be.
+    const auto price = [&](const Slot& slot, std::vector<Victim>& whom) -> double {
+      whom.clear();
+      double loss = slot.machine->images.contains(job.spec.image)
+                        ? 0
+                        : fetch_time(job.spec, *pools_[slot.pool].type);
+      Resources room = room_on(slot);
+      if (room.fits(need)) return loss;
+      const auto there = on_slot_.find(slot.machine->name);
+      if (there == on_slot_.end()) return -1;
+      std::set<std::string> gangs;
+      for (const Victim& v : able(there->second)) {
+        if (v.job->spec.gang && !gangs.insert(v.job->id()).second) continue;
+        room += needs_of(v.job->spec);
+        loss += v.loss;
+        whom.push_back(v);
+        if (room.fits(need)) return loss;
+      }
+      return -1;
+    };
+    const auto zones = !job.spec.one_zone   ? std::vector<std::string>{""}
+                       : !live_zone.empty() ? std::vector<std::string>{live_zone}
+                                            : ledger_.settings().zones;
+    for (const auto& zone : zones) {
+      using Offer = std::tuple<double, std::string, Slot*>;
+      std::vector<Offer> offers;
+      std::vector<Victim> whom;
+      for (Pool& pool : pools_) {
+        if (!zone.empty() && pool.zone != zone) continue;
+        if (!allows(job.spec, *pool.type, pool.zone, pool.spot)) continue;
+        for (Slot* slot : pool.slots) {
+          const double loss = price(*slot, whom);
+          if (loss >= 0) offers.emplace_back(loss, slot->machine->name, slot);
+        }
+      }
+      std::make_heap(offers.begin(), offers.end(), std::greater<>());
+      std::vector<Slot*> claimed;
+      std::map<std::string, std::uint32_t> in_zone;
+      while (claimed.size() < wanted && !offers.empty()) {
+        std::pop_heap(offers.begin(), offers.end(), std::greater<>());
+        Slot* slot = std::get<Slot*>(offers.back());
+        const double offered = std::get<0>(offers.back());
+        offers.pop_back();
+        if (job.spec.spread && in_zone[pools_[slot->pool].zone] >= (job.spec.tasks + 1) / 2) {
+          continue;
+        }
+        const double present = price(*slot, whom);
+        if (present < 0) continue;
+        if (present <= offered || offers.empty() || present <= std::get<0>(offers.front())) {
+          for (const Victim& v : whom) {
+            if (!stopped_.contains({v.job->id(), v.placement->task})) stop(v);
+          }
+          before.emplace_back(slot, slot->coming);
+          slot->coming -= need;
+          ++in_zone[pools_[slot->pool].zone];
+          claimed.push_back(slot);
+        }
+        const double again = price(*slot, whom);
+        if (again >= 0) {
+          offers.emplace_back(again, slot->machine->name, slot);
+          std::push_heap(offers.begin(), offers.end(), std::greater<>());
+        }
+      }
+      if (claimed.size() == wanted) {
+        // A claim is made anew in every round, and needs no hold besides.
+        if (own != nullptr) {
+          for (const auto& [name, count] : own->tasks) {
+            if (Slot* slot = slot_of(name)) {
+              take_room(slot->room, own->each, -static_cast<double>(count));
+            }
+          }
+          holds_.release(job.id());
+        }
+        // What is free of it already is kept from less important work, too.
+        for (Slot* slot : claimed) {
+          slot->coming += need;
+          slot->room -= need;
+        }
+        take_room(claimed_[job.spec.team], need, -static_cast<double>(wanted));
+        for (const Victim& v : victims) {
+          out.preemptions.push_back({v.job->id(), v.placement->task, v.save, job.id()});
+        }
+        return;
+      }
+    }
+    undo();
+  }
+
   Ledger& ledger_;
   Holds& holds_;
   Seconds now_;
   const PlanLimits& limits_;
   std::vector<Slot> slots_;
+  std::vector<Pool> pools_;
+  std::unordered_map<std::string, Slot*> by_name_;
   std::vector<Reserve> reserves_;
+  std::vector<Failed> failed_;
   std::map<std::string, Resources> taken_;
   std::map<std::string, Resources> claimed_;  // by those for whom others are being stopped
+  bool surveyed_ = false;
+  std::map<std::string, Resources> coming_quota_;  // of a team's tasks that are being stopped
+  std::unordered_map<std::string, std::vector<std::pair<const Job*, const Placement*>>> on_slot_;
+  std::map<std::string, std::vector<std::pair<const Job*, const Placement*>>> of_team_;
   std::set<TaskId> stopped_;
   bool holder_ = false;
 };
--- a/src/coordination/planner.hpp
+++ b/src/coordination/planner.hpp
@@ -44,6 +44,7 @@
 
 struct PlanLimits {
   Seconds hold_s = 20;
+  Seconds start_bound_s = 0;  // 0: none, see order_of_work
   std::function<bool()> out_of_time = [] { return false; };
   size_t start_at = 0;  // where in the order of work the last round stopped
 };
--- a/src/coordination/triage.cpp
+++ b/src/coordination/triage.cpp
@@ -9,6 +9,12 @@
 
 // More important work of a team is taken to leave the rest at least this part of its room.
 constexpr double kLeastRoom = 0.1;
+// A job that has not begun after these parts of the bound rises, and becomes urgent.
+constexpr double kRisesAfter = 1.0 / 2;
+constexpr double kUrgentAfter = 3.0 / 4;
+
+// Jobs of one priority and team.
+using Group = std::pair<protocol::Priority, std::string>;
 
 struct Candidate {
   Job* job;
@@ -22,19 +28,16 @@
 
 // The most that a team's jobs of a priority can use at once, of each resource: its limit or the
 // fleet, whichever is less, without what its more important work takes at present.
-Resources team_room(const Ledger& ledger, const std::string& name, protocol::Priority priority) {
+Resources team_room(const Ledger& ledger, const std::string& name, protocol::Priority priority,
+                    const Resources& fleet, const std::map<Group, Resources>& taken) {
   const TeamSettings* team = ledger.settings().team(name);
   if (team == nullptr) return {};
-  Resources fleet;
-  for (const auto& [id, machine] : ledger.machines()) fleet += machine.capacity;
   // Before any machine is known the team's limit alone tells.
   Resources room{fleet.cpus > 0 ? std::min(team->cpus_max, fleet.cpus) : team->cpus_max,
                  fleet.gpus > 0 ? std::min(team->gpus_max, fleet.gpus) : team->gpus_max, 0};
   const Resources whole = room;
-  for (const auto& [id, job] : ledger.jobs()) {
-    if (job->spec.team != name || job->spec.priority >= priority) continue;
-    room.cpus -= job->spec.cpus * static_cast<double>(job->live.size());
-    room.gpus -= job->spec.gpus * static_cast<double>(job->live.size());
+  for (const auto& [group, used] : taken) {
+    if (group.second == name && group.first < priority) room -= used;
   }
   room.cpus = std::max(room.cpus, whole.cpus * kLeastRoom);
   room.gpus = std::max(room.gpus, whole.gpus * kLeastRoom);
@@ -118,25 +121,37 @@
   return out;
 }
 
-std::vector<Job*> order_of_work(Ledger& ledger, Seconds now) {
+std::vector<Job*> order_of_work(Ledger& ledger, Seconds now, Seconds start_bound) {
   const auto guaranteed = within_guarantee(ledger);
   // Jobs of one team and priority share its room; what runs already takes the first of it.
-  using Group = std::pair<protocol::Priority, std::string>;
+  Resources fleet;
+  for (const auto& [id, machine] : ledger.machines()) fleet += machine.capacity;
+  std::map<Group, Resources> taken;
+  for (const auto& [id, job] : ledger.jobs()) {
+    if (job->live.empty()) continue;
+    const auto count = static_cast<double>(job->live.size());
+    taken[{job->spec.priority, job->spec.team}] +=
+        Resources{job->spec.cpus * count, job->spec.gpus * count, 0};
+  }
   std::map<Group, Resources> rooms;
   const auto room_of = [&](const Job& job) -> const Resources& {
     const Group group{job.spec.priority, job.spec.team};
     const auto it = rooms.find(group);
     if (it != rooms.end()) return it->second;
-    return rooms[group] = team_room(ledger, job.spec.team, job.spec.priority);
+    return rooms[group] = team_room(ledger, job.spec.team, job.spec.priority, fleet, taken);
   };
   std::map<Group, double> running;
   std::vector<Candidate> all;
   for (const auto& [id, job] : ledger.jobs()) {
-    for (const auto& [task, p] : job->live) {
+    if (!job->live.empty()) {
       const Seconds run = ledger.expected_run(job->spec);
-      const Seconds ran = p.running_since < 0 ? 0 : now - p.running_since;
+      Seconds left = 0;
+      for (const auto& [task, p] : job->live) {
+        const Seconds ran = p.running_since < 0 ? 0 : now - p.running_since;
+        left += std::max(run - ran, run / 4);
+      }
       running[{job->spec.priority, job->spec.team}] +=
-          std::max(run - ran, run / 4) * part_of_room(job->spec, room_of(*job));
+          left * part_of_room(job->spec, room_of(*job));
     }
     if (job->waiting() == 0) continue;
     Candidate c{job.get(), 0, 0, due_times(ledger, *job), 0, job->submitted, 0};
@@ -174,8 +189,15 @@
     }
   }
   const auto key = [&](const Candidate& c) {
-    return std::make_tuple(c.job->spec.priority, !guaranteed.contains(c.job->id()), c.rank,
-                           c.sort_time);
+    const Job& job = *c.job;
+    const Seconds waited = start_bound > 0 && !job.seen_running ? now - job.submitted : 0;
+    if (waited > start_bound * kRisesAfter) {
+      const auto priority = waited > start_bound * kUrgentAfter
+                                ? std::min(job.spec.priority, protocol::Priority::high)
+                                : job.spec.priority;
+      return std::make_tuple(priority, false, 0, job.submitted);
+    }
+    return std::make_tuple(job.spec.priority, !guaranteed.contains(job.id()), c.rank, c.sort_time);
   };
   std::sort(all.begin(), all.end(), [&](const Candidate& a, const Candidate& b) {
     const auto ka = key(a);
--- a/src/coordination/triage.hpp
+++ b/src/coordination/triage.hpp
@@ -19,6 +19,10 @@
 
 // The jobs that want places, most important first: by priority; within the team's guarantee before
 // beyond it; then those that can still be done in time before those that cannot.
-std::vector<Job*> order_of_work(Ledger& ledger, Seconds now);
+//
+// Giving up the largest job first is what could starve it: a job that has not begun after half of
+// `start_bound` (0: none) comes before all others of its priority, and after three quarters of it
+// it counts as urgent.
+std::vector<Job*> order_of_work(Ledger& ledger, Seconds now, Seconds start_bound);
 
 }  // namespace larkroad::coordination
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -20,8 +20,9 @@
 constexpr double kPeerSockets = 0.05;
 constexpr double kOutgoingSockets = 0.3;
 
-int serve(const std::string& config) {
-  const Settings settings = load_settings(config);
+int serve(const std::string& config, const std::string& operators) {
+  Settings settings = load_settings(config);
+  if (!operators.empty()) settings.operators = load_operators(operators);
   init_logging(std::getenv("LOG_LEVEL"), settings.member);
   spdlog::info("larkroad {} of {} controllers, zone {}", settings.member, settings.node_count(),
                settings.zone);
@@ -62,10 +63,12 @@
   std::string config;
   CLI::App* serve_command = app.add_subcommand("serve", "Run as one of the controllers");
   serve_command->add_option("--config", config, "Settings file (TOML)")->required();
+  std::string operators;
+  serve_command->add_option("--operators", operators, "The operators' own settings (TOML)");
   CLI11_PARSE(app, argc, argv);
 
   try {
-    return serve(config);
+    return serve(config, operators);
   } catch (const std::exception& error) {
     std::cerr << "larkroad: " << error.what() << '\n';
     return EXIT_FAILURE;
--- a/src/protocol/jobs.cpp
+++ b/src/protocol/jobs.cpp
@@ -158,7 +158,7 @@
   constexpr std::string_view kJobs = "/v2/runs";
   UserTarget out;
   std::string wanted;
-  if (path == "/healthz") {
+  if (path == kHealthPath) {
     out.call = UserCall::health;
     wanted = "GET";
   } else if (path == kJobs) {
--- a/src/protocol/jobs.hpp
+++ b/src/protocol/jobs.hpp
@@ -53,6 +53,8 @@
                               std::uint32_t running);
 std::string encode_error(const std::string& what);
 
+inline constexpr const char* kHealthPath = "/healthz";
+
 enum class UserCall { submit, query, cancel, health, none };
 struct UserTarget {
   UserCall call = UserCall::none;
--- a/src/settings.cpp
+++ b/src/settings.cpp
@@ -122,6 +122,7 @@
   }
 
  private:
+  friend void refuse_unknown(const Section& section, const std::set<std::string>& known);
   const toml::node* need(const char* key) const {
     const auto* node = table_.get(key);
     if (node == nullptr) fail(name(key), "is missing");
@@ -132,25 +133,44 @@
   std::string path_;
 };
 
-}  // namespace
-
-const TeamSettings* Settings::team(const std::string& name) const {
-  for (const auto& team : teams) {
-    if (team.name == name) return &team;
+// A word that nobody reads is a mistake where operators write the file themselves.
+void refuse_unknown(const Section& section, const std::set<std::string>& known) {
+  for (const auto& [key, value] : section.table_) {
+    const std::string word(key.str());
+    if (!known.contains(word)) fail(section.name(word.c_str()), "is not known");
   }
-  return nullptr;
 }
 
-Settings parse_settings(const std::string& toml_text) {
-  toml::table table;
+toml::table parse_toml(const std::string& text) {
   try {
-    table = toml::parse(toml_text);
+    return toml::parse(text);
   } catch (const toml::parse_error& error) {
     std::ostringstream out;
     out << "settings: not TOML: " << error.description() << " at line "
         << error.source().begin.line;
     throw SettingsError(out.str());
   }
+}
+
+std::string read_file(const std::string& path) {
+  std::ifstream in(path);
+  if (!in) throw SettingsError("settings: cannot read " + path);
+  std::ostringstream text;
+  text << in.rdbuf();
+  return text.str();
+}
+
+}  // namespace
+
+const TeamSettings* Settings::team(const std::string& name) const {
+  for (const auto& team : teams) {
+    if (team.name == name) return &team;
+  }
+  return nullptr;
+}
+
+Settings parse_settings(const std::string& toml_text) {
+  const toml::table table = parse_toml(toml_text);
   const Section root(table, "");
   Settings s;
   s.member = root.text("member");
@@ -218,12 +238,28 @@
   return s;
 }
 
-Settings load_settings(const std::string& path) {
-  std::ifstream in(path);
-  if (!in) throw SettingsError("settings: cannot read " + path);
-  std::ostringstream text;
-  text << in.rdbuf();
-  return parse_settings(text.str());
+Settings load_settings(const std::string& path) { return parse_settings(read_file(path)); }
+
+OperatorSettings parse_operators(const std::string& toml_text) {
+  const toml::table table = parse_toml(toml_text);
+  const Section root(table, "");
+  refuse_unknown(root, {"gangs", "starts"});
+  OperatorSettings s;
+  if (table.contains("gangs")) {
+    const Section gangs = root.section("gangs");
+    refuse_unknown(gangs, {"hold_s"});
+    if (table["gangs"].as_table()->contains("hold_s")) s.hold_s = gangs.positive("hold_s");
+  }
+  if (table.contains("starts")) {
+    const Section starts = root.section("starts");
+    refuse_unknown(starts, {"bound_s"});
+    s.start_bound_s = starts.number_or("bound_s", 0, s.start_bound_s);
+  }
+  return s;
+}
+
+OperatorSettings load_operators(const std::string& path) {
+  return parse_operators(read_file(path));
 }
 
 }  // namespace larkroad
--- a/src/settings.hpp
+++ b/src/settings.hpp
@@ -40,6 +40,12 @@
   double times = 1;
 };
 
+// The operators' own settings, from a file beside the platform's; each has a default.
+struct OperatorSettings {
+  double hold_s = 20;          // how long a gang may hold room while it lacks some
+  double start_bound_s = 240;  // triage delays no job's start past this, if there is room at all
+};
+
 struct Settings {
   std::string member;
   std::string zone;
@@ -72,6 +78,8 @@
   double memory_mb = 0;
   int sockets = 0;
 
+  OperatorSettings operators;
+
   const TeamSettings* team(const std::string& name) const;
   size_t node_count() const { return peers.size() + 1; }
 };
@@ -79,5 +87,7 @@
 // Throws SettingsError that names the field at fault.
 Settings parse_settings(const std::string& toml_text);
 Settings load_settings(const std::string& path);
+OperatorSettings parse_operators(const std::string& toml_text);
+OperatorSettings load_operators(const std::string& path);
 
 }  // namespace larkroad
--- a/tests/fleet_test.cpp
+++ b/tests/fleet_test.cpp
@@ -10,7 +10,7 @@
 class Fleet : public ::testing::Test {
  protected:
   Fleet() : settings(testing::settings()), ledger(settings) { ledger.set_types(testing::types()); }
-  FleetPlan round(Seconds now = 100) { return plan_fleet(ledger, refusals, pending, now); }
+  FleetPlan round(Seconds now = 100) { return plan_fleet(ledger, refusals, pending, now, 0); }
   static int rented(const FleetPlan& plan) {
     int count = 0;
     for (const auto& rent : plan.rent) count += rent.count;
--- a/tests/planner_test.cpp
+++ b/tests/planner_test.cpp
@@ -74,7 +74,7 @@
   testing::add(ledger, testing::spec("job-3"), 2);
   testing::add(ledger, testing::spec("job-4", 100), 0);  // beyond its team's guarantee
   std::vector<std::string> ids;
-  for (const Job* job : order_of_work(ledger, 10)) ids.push_back(job->id());
+  for (const Job* job : order_of_work(ledger, 10, 0)) ids.push_back(job->id());
   // job-4 came first and exceeds the guarantee; so do all that come after it in its team.
   EXPECT_EQ(ids, (std::vector<std::string>{"job-2", "job-4", "job-1", "job-3"}));
 }
--- a/tests/settings_test.cpp
+++ b/tests/settings_test.cpp
@@ -87,5 +87,33 @@
   EXPECT_THROW(load_settings("/nonexistent/settings.toml"), SettingsError);
 }
 
+TEST(OperatorSettings, DefaultsAndErrors) {
+  EXPECT_DOUBLE_EQ(parse_operators("").hold_s, 20);
+  EXPECT_DOUBLE_EQ(parse_operators("").start_bound_s, 240);
+  const auto own = parse_operators("[gangs]\nhold_s = 5\n[starts]\nbound_s = 60.5\n");
+  EXPECT_DOUBLE_EQ(own.hold_s, 5);
+  EXPECT_DOUBLE_EQ(own.start_bound_s, 60.5);
+  const struct {
+    const char* text;
+    const char* named;
+  } cases[] = {
+      {"[gangs]\nhold_s = 0\n", "gangs.hold_s"},
+      {"[gangs]\nhold = 5\n", "gangs.hold "},
+      {"[starts]\nbound_s = \"long\"\n", "starts.bound_s"},
+      {"[starts]\nbound_s = -1\n", "starts.bound_s"},
+      {"gangs = 3\n", "gangs "},
+      {"[limits]\n", "limits "},
+      {"[gangs\n", "not TOML"},
+  };
+  for (const auto& c : cases) {
+    try {
+      parse_operators(c.text);
+      ADD_FAILURE() << c.text << " is taken";
+    } catch (const SettingsError& error) {
+      EXPECT_NE(std::string(error.what()).find(c.named), std::string::npos) << error.what();
+    }
+  }
+}
+
 }  // namespace
 }  // namespace larkroad
