--- a/src/coordination/leader.cpp
+++ b/src/coordination/leader.cpp
@@ -982,6 +982,7 @@
 void Leader::fleet_round() {
   later(settings_.report_s * kFleetRatio, [this] { fleet_round(); });
   record_images();
+  if (spdlog::should_log(spdlog::level::debug)) log_use();
   if (!election_.leads() || !catalog_.known()) return;
   // Until the machines of an earlier leader have had time to report, what is there is not known.
   if (!listed_once_ || clock_.now() - ready_at_ < settings_.report_s * 1.5) return;
@@ -991,6 +992,52 @@
   if (!decided.give_back.empty()) give_back(decided.give_back);
 }
 
+// One line on how the fleet is used, for those who look for room.
+void Leader::log_use() const {
+  struct Use {
+    int up = 0, coming = 0, idle = 0;
+    Resources all, placed, running;
+  };
+  std::map<std::string, Use> by_type;
+  for (const auto& [name, machine] : ledger_.machines()) {
+    Use& use = by_type[machine.type + (machine.spot ? "/spot" : "")];
+    if (!machine.heard) {
+      ++use.coming;
+      continue;
+    }
+    ++use.up;
+    use.idle += machine.tasks.empty();
+    use.all += machine.capacity;
+    use.placed += machine.used;
+    for (const auto& id : machine.tasks) {
+      const Job* job = ledger_.job(id.job);
+      if (job != nullptr && job->live.at(id.task).running_since >= 0) {
+        use.running += needs_of(job->spec);
+      }
+    }
+  }
+  std::string line;
+  for (const auto& [type, use] : by_type) {
+    line += fmt::format(" {}: {} up {} coming {} idle", type, use.up, use.coming, use.idle);
+    if (use.all.gpus > 0) {
+      line += fmt::format(" gpus {:.0f}/{:.0f}/{:.0f}", use.running.gpus, use.placed.gpus,
+                          use.all.gpus);
+    }
+    line +=
+        fmt::format(" cpus {:.0f}/{:.0f}/{:.0f};", use.running.cpus, use.placed.cpus, use.all.cpus);
+  }
+  std::map<std::string, std::pair<int, std::uint32_t>> waiting;
+  for (const auto& [id, job] : ledger_.jobs()) {
+    if (job->waiting() == 0) continue;
+    ++waiting[job->spec.job_class].first;
+    waiting[job->spec.job_class].second += job->waiting();
+  }
+  for (const auto& [name, count] : waiting) {
+    line += fmt::format(" {} waits: {} jobs {} tasks;", name, count.first, count.second);
+  }
+  spdlog::debug("fleet (running/placed/all){}", line);
+}
+
 void Leader::rent(const Market& market, int count) {
   // The token is this leadership's own, so the name is never used again by any node or term.
   protocol::RentalRequest request{
--- a/src/coordination/leader.hpp
+++ b/src/coordination/leader.hpp
@@ -88,6 +88,7 @@
   void request_plan();
   void make_plan();
   void fleet_round();
+  void log_use() const;
   void list_machines();
   void list_page(const std::string& after, Seconds begun);
   void listed(Seconds begun);
--- a/src/coordination/ledger.cpp
+++ b/src/coordination/ledger.cpp
@@ -74,8 +74,8 @@
 }
 
 bool Machine::usable(Seconds now) const {
-  return heard && !silent && !returning && !suspect && !taken_at && now >= refused_until &&
-         !address.empty();
+  return heard && !silent && !returning && !suspect && !taken_at &&
+         now >= refused_until && !address.empty();
 }
 
 void Machine::touch_image(const std::string& image, double gb, double cache_gb, Seconds now) {
--- a/src/coordination/ledger.hpp
+++ b/src/coordination/ledger.hpp
@@ -31,6 +31,7 @@
   double gpus = 0;
   double memory_gb = 0;
 
+  bool operator==(const Resources&) const = default;
   Resources& operator+=(const Resources& o);
   Resources& operator-=(const Resources& o);
   bool fits(const Resources& need) const;  // whether `need` fits into this
@@ -134,7 +135,7 @@
   std::optional<Seconds> taken_at;  // from the spot notice
   bool silent = false;              // its lease has run out unanswered; it must report anew
   bool returning = false;
-  bool suspect = false;  // every task fails on it
+  bool suspect = false;   // every task fails on it
   int failures = 0;
   Seconds refused_until = 0;  // it said `full`: its room is not what it seems
   Seconds idle_since = 0;
--- a/src/coordination/planner.cpp
+++ b/src/coordination/planner.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <optional>
 #include <set>
 #include <tuple>
 #include <unordered_map>
@@ -16,12 +17,16 @@
 // What it costs to take room from a more important class, in reports.
 constexpr double kDisplacedReports = 1;
 
+// What it costs to block all GPUs of a machine, in reports.
+constexpr double kBlockedReports = 4;
+
 // A machine with its room in this round, less what others hold.
 struct Slot {
   Machine* machine = nullptr;
   size_t pool = 0;
   Resources room;
   Resources coming;  // of what is being stopped on it, less what is claimed of that
+  std::optional<std::map<std::string, double>> fetching;  // images on their way, with their sizes
 };
 
 // Machines of one type, zone and kind: what a job may use is decided once for them all.
@@ -67,6 +72,9 @@
       pools_[slot.pool].slots.push_back(&slot);
       by_name_[slot.machine->name] = &slot;
     }
+    for (const auto& [id, job] : ledger_.jobs()) {
+      if (job->spec.gpus > 0 && job->waiting() > 0) waits_for_gpus(job->spec);
+    }
     for (const auto& [job, hold] : holds_.all()) {
       for (const auto& [name, count] : hold.tasks) {
         if (Slot* slot = slot_of(name)) take_room(slot->room, hold.each, count);
@@ -188,15 +196,63 @@
     return left.times({job.spec.cpus, job.spec.gpus, 0});
   }
 
+  struct GpuNeed {
+    std::vector<bool> allowed;  // by pool
+    Resources need;
+  };
+
+  void waits_for_gpus(const JobSpec& spec) {
+    const Resources need = needs_of(spec);
+    if (std::none_of(gpu_needs_.begin(), gpu_needs_.end(),
+                     [&](const GpuNeed& known) { return known.need == need; })) {
+      gpu_needs_.push_back({allowed_pools(spec), need});
+    }
+  }
+
+  // The part of a machine's GPUs that a task which needs none would block for work that does.
+  double blocked_gpus(const Job& job, const Slot& slot, const Resources& room) const {
+    const Resources& all = slot.machine->capacity;
+    if (job.spec.gpus > 0 || all.gpus <= 0) return 0;
+    Resources rest = room;
+    rest -= needs_of(job.spec);
+    double out = 0;
+    for (const GpuNeed& gpu : gpu_needs_) {
+      if (!gpu.allowed[slot.pool]) continue;
+      const double blocked = static_cast<double>(room.times(gpu.need)) - rest.times(gpu.need);
+      out = std::max(out, blocked * gpu.need.gpus / all.gpus);
+    }
+    return out;
+  }
+
+  // How long the job's image takes to be there: several fetches share the machine's rate.
+  Seconds wait_for_image(const Job& job, Slot& slot) const {
+    if (slot.machine->images.contains(job.spec.image)) return 0;
+    if (!slot.fetching) {
+      slot.fetching.emplace();
+      for (const auto& id : slot.machine->tasks) {
+        const Job* other = ledger_.job(id.job);
+        if (other == nullptr || slot.machine->images.contains(other->spec.image)) continue;
+        (*slot.fetching)[other->spec.image] = other->spec.image_gb;
+      }
+    }
+    const double rate = pools_[slot.pool].type->fetch_gb_per_s;
+    if (rate <= 0) return 0;
+    double gb = slot.fetching->contains(job.spec.image) ? 0 : job.spec.image_gb;
+    for (const auto& [image, size] : *slot.fetching) gb += size;
+    return gb / rate;
+  }
+
   // What placing a task here costs, in seconds of somebody's time.
-  double cost(const Job& job, const Slot& slot) const {
+  double cost(const Job& job, Slot& slot) const {
     const Pool& pool = pools_[slot.pool];
     const Seconds report = ledger_.settings().report_s;
     double out = 0;
-    if (!slot.machine->images.contains(job.spec.image)) out += fetch_time(job.spec, *pool.type);
+    out += wait_for_image(job, slot);
     // Work that needs no GPU leaves the machines that have some to work that does, unless it
     // would wait for its image elsewhere.
-    if (job.spec.gpus == 0 && pool.type->gpus > 0) out += report;
+    if (job.spec.gpus == 0 && pool.type->gpus > 0) {
+      out += report * (1 + kBlockedReports * blocked_gpus(job, slot, slot.room));
+    }
     // Spot machines first: what may not use them has only the others.
     if (job.spec.spot && !pool.spot) out += report;
     // Best fit: the less room remains, the better the rest of the fleet can take large tasks.
@@ -232,11 +288,15 @@
       if (reserve.allowed[slot.pool]) reserve.fits -= lost_fits(reserve, job, slot);
     }
     slot.room -= needs_of(job.spec);
+    if (slot.fetching && !slot.machine->images.contains(job.spec.image)) {
+      (*slot.fetching)[job.spec.image] = job.spec.image_gb;
+    }
   }
 
   void give_back(const Job& job, const Choice& choice) {
     for (const auto& [slot, task] : choice) {
       slot->room += needs_of(job.spec);
+      slot->fetching.reset();  // seen anew when it matters
       for (Reserve& reserve : reserves_) {
         if (reserve.allowed[slot->pool]) reserve.fits += lost_fits(reserve, job, *slot);
       }
@@ -246,7 +306,7 @@
   // ------------------------------------------------------------ placing
 
   // The cost of one more task on a slot; negative when it can't be there.
-  double offer(const Job& job, const Slot& slot) const {
+  double offer(const Job& job, Slot& slot) const {
     if (!slot.room.fits(needs_of(job.spec))) return -1;
     const double lost = displaced(job, slot);
     if (lost < 0) return -1;
@@ -532,6 +592,11 @@
                         ? 0
                         : fetch_time(job.spec, *pools_[slot.pool].type);
       Resources room = room_on(slot);
+      // Nor is GPU work stopped for what needs none, unless that is urgent.
+      if (job.spec.gpus <= 0 && slot.machine->capacity.gpus > 0 &&
+          job.spec.priority > protocol::Priority::high && !room.fits(need)) {
+        return -1;
+      }
       if (room.fits(need)) return loss;
       const auto there = on_slot_.find(slot.machine->name);
       if (there == on_slot_.end()) return -1;
@@ -622,6 +687,7 @@
   std::unordered_map<std::string, Slot*> by_name_;
   std::vector<Reserve> reserves_;
   std::vector<Failed> failed_;
+  std::vector<GpuNeed> gpu_needs_;  // of work that waits for room
   std::map<std::string, Resources> taken_;
   std::map<std::string, Resources> claimed_;  // by those for whom others are being stopped
   bool surveyed_ = false;
