--- a/src/coordination/leader.cpp
+++ b/src/coordination/leader.cpp
@@ -12,7 +12,7 @@
 // The room of a planning round for what else the process does: a part of a tick.
 constexpr double kPlanBudgetRatio = 1.0 / 20;
 // Reports and decisions are gathered for this part of the report interval before planning.
-constexpr double kPlanDelayRatio = 1.0 / 100;
+constexpr double kPlanDelayRatio = 1.0 / 300;
 // A round of planning is followed by a pause of this many times what it took: the process has
 // reports and users to answer, too.
 constexpr double kPlanPause = 3;
--- a/src/coordination/planner.cpp
+++ b/src/coordination/planner.cpp
@@ -120,7 +120,10 @@
         place_gang(*job, quota, assignment);
       } else if (quota > 0) {
         if (!hopeless(*job)) {
-          const auto tasks = waiting_tasks(*job, quota);
+          // What rises does so to begin: one task of an array will do, and the rest of it keeps
+          // its place.
+          const bool risen = rise_of(*job, now_, limits_.start_bound_s) != Rise::none;
+          const auto tasks = waiting_tasks(*job, risen ? 1 : quota);
           const Choice choice = choose(*job, tasks);
           if (choice.size() < tasks.size() && !job->spec.spread && !job->spec.one_zone) {
             failed_.push_back({allowed_pools(job->spec), needs_of(job->spec), job->spec.priority});
