A session that nobody has answered has its lease from when it began

Two controllers crashed and the zones were apart; the new leader heard machines by /inspect, placed work on them, and then took them for silent by the bound of the earlier leader's answers, while their new sessions lived on. The log shows the machines taken for silent 1.8 s after their own answers to commands. Ruled out: late launches (the worker refuses another session's), the record of a placement. Besides: a transaction in flight no longer makes another place of the same attempt count as durable, and what an earlier leader placed is not launched with the rest of its gang.

--- a/src/coordination/leader.hpp
+++ b/src/coordination/leader.hpp
@@ -63,7 +63,7 @@
   void cancel_job(Job& job);
   void sync(Job& job);
   void synced(const std::string& id, const std::vector<std::uint32_t>& chunks,
-              const std::vector<std::pair<std::uint32_t, std::uint64_t>>& recorded,
+              const std::vector<storage::PlacedTask>& recorded,
               const std::vector<std::uint32_t>& done, const storage::CommitReply& reply);
   void finish_job(Job& job);
   void drop_garbage();
--- a/src/coordination/leader_records.cpp
+++ b/src/coordination/leader_records.cpp
@@ -44,7 +44,7 @@
   txn.guards.push_back({storage::kLeaderKey, election_.token()});
   txn.guards.push_back({storage::job_key(job.id()), job.mark});
   std::vector<std::uint32_t> chunks;
-  std::vector<std::pair<std::uint32_t, std::uint64_t>> recorded;
+  std::vector<storage::PlacedTask> recorded;
   std::vector<std::uint32_t> done;
   size_t bytes = 0;
   for (auto& [number, chunk] : job.chunks) {
@@ -62,7 +62,7 @@
     const std::uint32_t end = first + job.chunk_tasks;
     for (auto p = job.live.lower_bound(first); p != job.live.end() && p->first < end; ++p) {
       if (p->second.stage == Placement::Stage::recording) {
-        recorded.emplace_back(p->first, p->second.attempt);
+        recorded.push_back({p->first, p->second.attempt, p->second.machine, p->second.session});
       }
     }
     for (auto d = job.unrecorded_done.lower_bound(first);
@@ -80,7 +80,7 @@
 }
 
 void Leader::synced(const std::string& id, const std::vector<std::uint32_t>& chunks,
-                    const std::vector<std::pair<std::uint32_t, std::uint64_t>>& recorded,
+                    const std::vector<storage::PlacedTask>& recorded,
                     const std::vector<std::uint32_t>& done, const storage::CommitReply& reply) {
   Job* job = ledger_.job(id);
   if (job == nullptr) return;
@@ -106,14 +106,17 @@
   for (const auto number : chunks) job->chunks[number].mark = reply.revision;
   for (const auto task : done) job->unrecorded_done.erase(task);
   std::vector<std::uint32_t> launches;
-  for (const auto& [task, attempt] : recorded) {
-    const auto it = job->live.find(task);
-    if (it == job->live.end() || it->second.attempt != attempt ||
-        it->second.stage != Placement::Stage::recording) {
+  for (const auto& written : recorded) {
+    // A task of a gang may have been placed elsewhere meanwhile, with the same attempt: that place
+    // is not what has become durable.
+    const auto it = job->live.find(written.task);
+    if (it == job->live.end() || it->second.stage != Placement::Stage::recording ||
+        it->second.attempt != written.attempt || it->second.machine != written.machine ||
+        it->second.session != written.session) {
       continue;
     }
     it->second.stage = Placement::Stage::recorded;
-    launches.push_back(task);
+    launches.push_back(written.task);
   }
   if (job->cancelled) {
     // Recorded, but nothing was sent and nothing will be.
@@ -128,7 +131,9 @@
         sync(*job);
         return;
       }
-      if (placement.stage == Placement::Stage::recorded && !placement.stopping) {
+      // What an earlier leader placed is not launched anew as it stands; see absent().
+      if (placement.stage == Placement::Stage::recorded && !placement.stopping &&
+          !placement.inherited) {
         launches.push_back(task);
       }
     }
--- a/src/coordination/leader_workers.cpp
+++ b/src/coordination/leader_workers.cpp
@@ -60,6 +60,12 @@
     }
     end_sessions(machine, report.session);
   }
+  if (report.session > machine.session || !machine.heard) {
+    // The lease of a session that nobody has answered counts from when it began, which may be as
+    // late as now. Without this a machine heard by `/inspect` only was taken for silent by the
+    // bound of the earlier leader's answers, while it held new tasks (docs/incidents).
+    machine.answered_at = std::max(machine.answered_at, now);
+  }
   if (!machine.heard) {
     machine.heard = true;
     machine.there_at = std::max(machine.there_at, now);
--- a/tests/sim/world.cpp
+++ b/tests/sim/world.cpp
@@ -209,6 +209,7 @@
             [finish, sent] { finish(sent ? Outcome::unknown : Outcome::not_sent, {}); });
   if (!sent) return;
   if (is_deaf(to)) return;
+  if (const auto it = mute_.find(from); it != mute_.end() && it->second > now) return;
   if (troubles.copies > 0 && request.target == protocol::kReportPath &&
       chance() < troubles.copies) {
     const Seconds copy = now + 1 + chance() * 3 * settings.lease_s;
--- a/tests/sim/world.hpp
+++ b/tests/sim/world.hpp
@@ -161,6 +161,10 @@
   void cut(const std::string& a, const std::string& b, Seconds length);
   // What the machine sends arrives; answers and commands to it do not.
   void deafen(const std::string& machine, Seconds length);
+  // The other way round: commands and their answers pass, its own reports do not.
+  void mute(const std::string& machine, Seconds length) {
+    mute_[machine] = events.now() + length;
+  }
   // Cuts a node off from the state service and the other nodes, but not from the workers.
   void isolate(size_t node, Seconds length);
   void submit(JobSpec spec, Seconds when);
@@ -210,6 +214,7 @@
   std::vector<std::unique_ptr<Host>> hosts_;
   std::map<std::pair<std::string, std::string>, Seconds> cuts_;
   std::map<std::string, Seconds> deaf_;  // until when
+  std::map<std::string, Seconds> mute_;
   std::map<std::string, JobSpec> submitted_;
   std::map<std::string, std::string> heard_;  // the latest stage each user was told
   std::map<std::string, Json> rented_;        // answers by request name
--- a/tests/sim_test.cpp
+++ b/tests/sim_test.cpp
@@ -302,6 +302,29 @@
          });
        }
      }},
+    // Machines are out of reach from before a change of leader until about when the new one may
+    // take what they held for gone. Sessions begin meanwhile that nobody has answered.
+    {"cut_off_while_the_leader_changes",
+     {0, 0, 30, 0.2},
+     [](World& w) {
+       w.capacity = 12;
+       for (int k = 0; k < 3; ++k) {
+         const Seconds when = 18 + 45 * k;
+         to_leader(w, when, [&w](size_t i) { w.kill(i, 1); });
+         w.events.at(when, [&w] {
+           for (const auto& worker : w.workers) {
+             if (w.chance() < 0.5) continue;  // so that there is room elsewhere
+             const Seconds length = 18 + 10 * w.chance();
+             for (size_t i = 0; i < 3; ++i) w.cut(node(i), worker->name, length);
+             w.mute(worker->name, 40);
+           }
+         });
+         // No machine goes back at the moment it is taken for silent, which would hide the rest.
+         w.events.at(when + 28, [&w] {
+           for (size_t i = 0; i < 3; ++i) w.cut(node(i), "cloud", 14);
+         });
+       }
+     }},
     {"leader_has_only_its_workers",
      {0.002, 0.005, 30, 0.4},
      [](World& w) {
