Triage by slots that all teams share, and by when they come free

Change: room is counted in whole tasks on whole machines, shared by all teams of a priority, beside each team's limit; and jobs are kept for a time to start by what has come free until then.

--- a/src/coordination/triage.cpp
+++ b/src/coordination/triage.cpp
@@ -9,67 +9,181 @@
 
 // More important work of a team is taken to leave the rest at least this part of its room.
 constexpr double kLeastRoom = 0.1;
+// Sums of parts are compared with this much leeway.
+constexpr double kRounding = 1e-9;
 // A job that has not begun after these parts of the bound rises, and becomes urgent.
 constexpr double kRisesAfter = 1.0 / 2;
 constexpr double kUrgentAfter = 3.0 / 4;
 
-// Jobs of one priority and team.
-using Group = std::pair<protocol::Priority, std::string>;
-
 struct Candidate {
   Job* job;
-  double work;    // what is left of it, in seconds of its team's whole room
-  Seconds least;  // what is left of it if all its tasks ran at once
+  double size;           // of its waiting tasks, in parts of the fleet
+  double size_of_limit;  // the same of its team's limit
+  Seconds run;           // of one task
   std::vector<Seconds> due;
   size_t stage = 0;       // the due time it is held to at present
   Seconds sort_time = 0;  // orders the jobs of a rank
   int rank = 0;           // the smaller, the earlier
+  Seconds start_by() const { return due[stage] - run; }
 };
 
-// The most that a team's jobs of a priority can use at once, of each resource: its limit or the
-// fleet, whichever is less, without what its more important work takes at present.
-Resources team_room(const Ledger& ledger, const std::string& name, protocol::Priority priority,
-                    const Resources& fleet, const std::map<Group, Resources>& taken) {
-  const TeamSettings* team = ledger.settings().team(name);
-  if (team == nullptr) return {};
-  // Before any machine is known the team's limit alone tells.
-  Resources room{fleet.cpus > 0 ? std::min(team->cpus_max, fleet.cpus) : team->cpus_max,
-                 fleet.gpus > 0 ? std::min(team->gpus_max, fleet.gpus) : team->gpus_max, 0};
-  const Resources whole = room;
-  for (const auto& [group, used] : taken) {
-    if (group.second == name && group.first < priority) room -= used;
-  }
-  room.cpus = std::max(room.cpus, whole.cpus * kLeastRoom);
-  room.gpus = std::max(room.gpus, whole.gpus * kLeastRoom);
-  return room;
-}
+// Machines of one type, zone and kind, taken together.
+struct Pool {
+  const MachineType* type = nullptr;
+  std::string zone;
+  bool spot = false;
+  double machines = 0;
+  Resources all;
+  std::map<protocol::Priority, Resources> used;
+};
 
-double part_of_room(const JobSpec& spec, const Resources& room) {
-  double part = 0;
-  if (room.cpus > 0) part = std::max(part, spec.cpus / room.cpus);
-  if (room.gpus > 0) part = std::max(part, spec.gpus / room.gpus);
-  return std::min(part, 1.0);
-}
+// What the fleet can run at once, as far as work of a priority finds it.
+class Capacity {
+ public:
+  explicit Capacity(const Ledger& ledger) : ledger_(ledger) {
+    std::map<std::tuple<const MachineType*, std::string, bool>, size_t> known;
+    for (const auto& [name, machine] : ledger.machines()) {
+      const MachineType* type = ledger.type(machine.type);
+      if (type == nullptr || machine.returning || machine.silent || machine.suspect) continue;
+      const auto [at, made] = known.try_emplace({type, machine.zone, machine.spot}, pools_.size());
+      if (made) pools_.push_back({type, machine.zone, machine.spot, 0, {}, {}});
+      Pool& pool = pools_[at->second];
+      pool.machines += 1;
+      pool.all += machine.capacity;
+      for (const auto& id : machine.tasks) {
+        if (const Job* job = ledger.job(id.job))
+          pool.used[job->spec.priority] += needs_of(job->spec);
+      }
+    }
+  }
+
+  // How many tasks of this kind fit beside more important work. Counted by whole tasks on whole
+  // machines: what a machine has in plenty is of no use where something else is short.
+  double slots(const JobSpec& spec) const {
+    const Resources need = needs_of(spec);
+    double all = 0;
+    double left = 0;
+    for (const Pool& pool : pools_) {
+      if (!allows(spec, *pool.type, pool.zone, pool.spot)) continue;
+      const double whole = pool.machines * capacity_of(*pool.type).times(need);
+      Resources room = pool.all;
+      for (const auto& [priority, used] : pool.used) {
+        if (priority < spec.priority) room -= used;
+      }
+      all += whole;
+      left += std::min<double>(whole, room.times(need));
+    }
+    return std::max(left, all * kLeastRoom);
+  }
+
+  // The part of the fleet that one task takes, and the part of its team's limit.
+  double part_of_fleet(const JobSpec& spec) const {
+    const double slots_there = slots(spec);
+    return slots_there > 1 ? 1 / slots_there : 1;
+  }
+  double part_of_limit(const JobSpec& spec) const {
+    const TeamSettings* team = ledger_.settings().team(spec.team);
+    if (team == nullptr) return 1;
+    double part = 0;
+    if (team->cpus_max > 0) part = std::max(part, spec.cpus / team->cpus_max);
+    if (team->gpus_max > 0) part = std::max(part, spec.gpus / team->gpus_max);
+    return std::min(part, 1.0);
+  }
+  bool known() const { return !pools_.empty(); }
+
+ private:
+  const Ledger& ledger_;
+  std::vector<Pool> pools_;
+};
 
-// Of the jobs held to a due time, keeps as many as can be done in time, in the way of Moore and
-// Hodgson: in order of their due times, and whenever one would be late, the largest so far is
-// given up. What is given up is left for the next due time, or for the end.
-void keep_in_time(std::vector<Candidate*>& jobs, Seconds now, double& load, int rank,
+// When a room that tasks share comes free: at once what nobody uses, the rest as its tasks end, and
+// all of it again whenever what is started then has run.
+class Openings {
+ public:
+  // A task that takes `part` of the room for another `left` seconds; its like run for `run`.
+  void add(double part, Seconds left, Seconds run) {
+    used_ += part;
+    ends_.push_back({left, part, part / std::max(run, 1e-3)});
+  }
+  // To be called once all tasks are known. `run`: of what may use the room that is free.
+  void sum_up(Seconds run) {
+    const double free = std::max(0.0, 1 - used_);
+    ends_.push_back({0, free, free / std::max(run, 1e-3)});
+    std::sort(ends_.begin(), ends_.end(),
+              [](const End& a, const End& b) { return a.left < b.left; });
+    double part = 0;
+    double rate = 0;
+    double before = 0;
+    for (End& end : ends_) {
+      part += end.part;
+      rate += end.rate;
+      before += end.rate * end.left;
+      sums_.push_back({part, rate, before});
+    }
+  }
+  // How much can be started within this time, in parts of the room.
+  double within(Seconds time) const {
+    const auto it = std::upper_bound(ends_.begin(), ends_.end(), time,
+                                     [](Seconds t, const End& end) { return t < end.left; });
+    if (it == ends_.begin()) return 0;
+    const Sum& sum = sums_[static_cast<size_t>(it - ends_.begin()) - 1];
+    return sum.part + sum.rate * time - sum.before;
+  }
+
+ private:
+  struct End {
+    Seconds left;
+    double part;
+    double rate;  // what it opens again and again, by the second
+  };
+  struct Sum {
+    double part, rate, before;
+  };
+  double used_ = 0;
+  std::vector<End> ends_;
+  std::vector<Sum> sums_;
+};
+
+// The room that jobs of a priority share, and what of it has been promised so far: the fleet, for
+// all teams, and each team's limit.
+struct Shared {
+  Openings fleet;
+  std::map<std::string, Openings> limits;
+  double promised = 0;
+  std::map<std::string, double> promised_of_limit;
+};
+
+// Of the jobs that are to start by their times, keeps as many as can, in the way of Moore and
+// Hodgson: in order of those times, and whenever one would be late, the largest so far is given up.
+// What is given up is left for its next time, or for the end.
+void keep_in_time(std::vector<Candidate*>& jobs, Seconds now, Shared& shared, int rank,
                   std::vector<Candidate*>& given_up) {
   std::sort(jobs.begin(), jobs.end(), [](const Candidate* a, const Candidate* b) {
-    return std::tie(a->due[a->stage], a->job->id()) < std::tie(b->due[b->stage], b->job->id());
+    return std::make_tuple(a->start_by(), a->job->id()) <
+           std::make_tuple(b->start_by(), b->job->id());
   });
   std::vector<Candidate*> kept;
   for (Candidate* c : jobs) {
+    const std::string& team = c->job->spec.team;
     kept.push_back(c);
-    load += c->work;
-    // Its own last tasks take their time, however much room there is.
-    if (now + std::max(load, c->least) <= c->due[c->stage]) continue;
+    shared.promised += c->size;
+    double& of_limit = shared.promised_of_limit[team];
+    of_limit += c->size_of_limit;
+    const Seconds time = c->start_by() - now;
+    const bool limit_full = of_limit > shared.limits[team].within(time) + kRounding;
+    if (!limit_full && shared.promised <= shared.fleet.within(time) + kRounding) continue;
+    // Where the team's limit is short, only its own jobs can make way.
+    const auto weight = [&](const Candidate* x) {
+      if (limit_full && x->job->spec.team != team) return -1.0;
+      return limit_full ? x->size_of_limit : x->size;
+    };
     const auto largest =
-        std::max_element(kept.begin(), kept.end(), [](const Candidate* a, const Candidate* b) {
-          return std::tie(a->work, a->job->id()) < std::tie(b->work, b->job->id());
+        std::max_element(kept.begin(), kept.end(), [&](const Candidate* a, const Candidate* b) {
+          return std::make_tuple(weight(a), a->job->id()) <
+                 std::make_tuple(weight(b), b->job->id());
         });
-    load -= (*largest)->work;
+    shared.promised -= (*largest)->size;
+    shared.promised_of_limit[(*largest)->job->spec.team] -= (*largest)->size_of_limit;
     given_up.push_back(*largest);
     kept.erase(largest);
   }
@@ -130,67 +244,63 @@
 
 std::vector<Job*> order_of_work(Ledger& ledger, Seconds now, Seconds start_bound) {
   const auto guaranteed = within_guarantee(ledger);
-  // Jobs of one team and priority share its room; what runs already takes the first of it.
-  Resources fleet;
-  for (const auto& [id, machine] : ledger.machines()) fleet += machine.capacity;
-  std::map<Group, Resources> taken;
-  for (const auto& [id, job] : ledger.jobs()) {
-    if (job->live.empty()) continue;
-    const auto count = static_cast<double>(job->live.size());
-    taken[{job->spec.priority, job->spec.team}] +=
-        Resources{job->spec.cpus * count, job->spec.gpus * count, 0};
-  }
-  std::map<Group, Resources> rooms;
-  const auto room_of = [&](const Job& job) -> const Resources& {
-    const Group group{job.spec.priority, job.spec.team};
-    const auto it = rooms.find(group);
-    if (it != rooms.end()) return it->second;
-    return rooms[group] = team_room(ledger, job.spec.team, job.spec.priority, fleet, taken);
-  };
-  std::map<Group, double> running;
+  const Capacity capacity(ledger);
+  std::map<protocol::Priority, Shared> shared;
   std::vector<Candidate> all;
+  std::map<protocol::Priority, std::pair<Seconds, double>> runs;  // summed, and how many
   for (const auto& [id, job] : ledger.jobs()) {
-    if (!job->live.empty()) {
-      const Seconds run = ledger.expected_run(job->spec);
-      Seconds left = 0;
-      for (const auto& [task, p] : job->live) {
-        const Seconds ran = p.running_since < 0 ? 0 : now - p.running_since;
-        left += std::max(run - ran, run / 4);
+    const Seconds run = ledger.expected_run(job->spec);
+    const bool waits = job->waiting() > 0;
+    if (job->live.empty() && !waits) continue;
+    // Before any machine is known the team's limit alone tells.
+    const double of_limit = capacity.part_of_limit(job->spec);
+    const double of_fleet = capacity.known() ? capacity.part_of_fleet(job->spec) : of_limit;
+    for (const auto& [task, p] : job->live) {
+      const Seconds ran = p.running_since < 0 ? 0 : now - p.running_since;
+      const Seconds left = std::max(run - ran, run / 4);
+      shared[job->spec.priority].fleet.add(of_fleet, left, run);
+      // A team's limit is shared with its more important work.
+      for (int rank = static_cast<int>(job->spec.priority);
+           rank <= static_cast<int>(protocol::Priority::low); ++rank) {
+        shared[static_cast<protocol::Priority>(rank)].limits[job->spec.team].add(of_limit, left,
+                                                                                 run);
       }
-      running[{job->spec.priority, job->spec.team}] +=
-          left * part_of_room(job->spec, room_of(*job));
     }
-    if (job->waiting() == 0) continue;
-    Candidate c{job.get(), 0, 0, due_times(ledger, *job), 0, job->submitted, 0};
-    const Seconds run = ledger.expected_run(job->spec);
-    const double left = job->waiting();
-    const auto& room = room_of(*job);
-    c.work = left * run * part_of_room(job->spec, room);
-    c.least = run;
-    all.push_back(std::move(c));
+    if (!waits) continue;
+    auto& [sum, count] = runs[job->spec.priority];
+    sum += run * job->waiting();
+    count += job->waiting();
+    all.push_back({job.get(), of_fleet * job->waiting(), of_limit * job->waiting(), run,
+                   due_times(ledger, *job), 0, job->submitted, 0});
+    shared[job->spec.priority].limits[job->spec.team];  // there, though nothing of it runs
+  }
+  for (auto& [priority, room] : shared) {
+    const auto& [sum, count] = runs[priority];
+    const Seconds run = count > 0 ? sum / count : 0;
+    room.fleet.sum_up(run);
+    for (auto& [team, limit] : room.limits) limit.sum_up(run);
   }
-  std::map<Group, std::vector<Candidate*>> groups;
+  std::map<protocol::Priority, std::vector<Candidate*>> groups;
   for (Candidate& c : all) {
-    if (!c.due.empty()) groups[{c.job->spec.priority, c.job->spec.team}].push_back(&c);
+    if (!c.due.empty()) groups[c.job->spec.priority].push_back(&c);
   }
-  for (auto& [key, group] : groups) {
-    double load = running[key];
+  for (auto& [priority, group] : groups) {
     int rank = 1;
     std::vector<Candidate*> rest = group;
     while (!rest.empty()) {
       std::vector<Candidate*> hopeful;
       std::vector<Candidate*> over;
       for (Candidate* c : rest) {
-        while (c->stage < c->due.size() && now + c->least > c->due[c->stage]) ++c->stage;
+        while (c->stage < c->due.size() && now > c->start_by()) ++c->stage;
         (c->stage < c->due.size() ? hopeful : over).push_back(c);
       }
       for (Candidate* c : over) {
         // Late whatever is done: the least work first, so that the fewest wait.
         c->rank = 1000;
-        c->sort_time = c->work;
+        c->sort_time = c->size * c->run;
       }
       std::vector<Candidate*> given_up;
-      keep_in_time(hopeful, now, load, rank++, given_up);
+      keep_in_time(hopeful, now, shared[priority], rank++, given_up);
       for (Candidate* c : given_up) ++c->stage;
       rest = std::move(given_up);
     }
