What has waited long rises later, by the time that its image takes

On the other hand an image of 20 GB takes 100 s on a GPU machine of seri, so rising after 180 s could not keep the bound of 240 s.

Change: a job rises after three quarters of its time (five sixths: urgent); its time is the bound less the way of its image.

--- a/src/coordination/leader.cpp
+++ b/src/coordination/leader.cpp
@@ -142,7 +142,7 @@
       }
       ++job->gang_attempt;
     }
-    if (rise_of(*job, begun, limits.start_bound_s) == Rise::urgent) job->risen = true;
+    if (rise_of(ledger_, *job, begun, limits.start_bound_s) == Rise::urgent) job->risen = true;
     for (const auto& [task, name] : assignment.tasks) {
       Machine& machine = ledger_.machine(name);
       const std::uint64_t attempt =
--- a/src/coordination/planner.cpp
+++ b/src/coordination/planner.cpp
@@ -122,7 +122,7 @@
         if (!hopeless(*job)) {
           // What rises does so to begin: one task of an array will do, and the rest of it keeps
           // its place.
-          const bool risen = rise_of(*job, now_, limits_.start_bound_s) != Rise::none;
+          const bool risen = rise_of(ledger_, *job, now_, limits_.start_bound_s) != Rise::none;
           const auto tasks = waiting_tasks(*job, risen ? 1 : quota);
           const Choice choice = choose(*job, tasks);
           if (choice.size() < tasks.size() && !job->spec.spread && !job->spec.one_zone) {
@@ -407,7 +407,7 @@
   void place_gang(Job& job, std::uint32_t quota, Assignment& out) {
     const std::uint32_t wanted = job.waiting();
     if (wanted == 0) return;
-    const bool risen = rise_of(job, now_, limits_.start_bound_s) != Rise::none;
+    const bool risen = rise_of(ledger_, job, now_, limits_.start_bound_s) != Rise::none;
     if (wanted > quota) {
       // Others of its team must not take for ever, piece by piece, what it needs at once.
       if (risen && !may_preempt(job))
--- a/src/coordination/triage.cpp
+++ b/src/coordination/triage.cpp
@@ -11,9 +11,12 @@
 constexpr double kLeastRoom = 0.1;
 // Sums of parts are compared with this much leeway.
 constexpr double kRounding = 1e-9;
-// A job that has not begun after these parts of the bound rises, and becomes urgent.
-constexpr double kRisesAfter = 1.0 / 2;
-constexpr double kUrgentAfter = 3.0 / 4;
+// A job that has not begun after these parts of its time rises, and becomes urgent. Its time is the
+// bound less what its image takes to arrive, though no less than this part of the bound. Rising
+// early costs others: in a burst that lasts, all room would go to what has waited for longest.
+constexpr double kLeastTime = 1.0 / 2;
+constexpr double kRisesAfter = 3.0 / 4;
+constexpr double kUrgentAfter = 5.0 / 6;
 
 struct Candidate {
   Job* job;
@@ -24,6 +27,7 @@
   size_t stage = 0;       // the due time it is held to at present
   Seconds sort_time = 0;  // orders the jobs of a rank
   int rank = 0;           // the smaller, the earlier
+  Rise rise = Rise::none;
   Seconds start_by() const { return due[stage] - run; }
 };
 
@@ -235,11 +239,20 @@
   return out;
 }
 
-Rise rise_of(const Job& job, Seconds now, Seconds start_bound) {
+Rise rise_of(const Ledger& ledger, const Job& job, Seconds now, Seconds start_bound) {
   if (start_bound <= 0 || job.seen_running) return Rise::none;
+  Seconds fetch = 0;
+  for (const auto& type : ledger.types()) {
+    for (const auto& zone : type.zones) {
+      if (allows(job.spec, type, zone, job.spec.spot)) {
+        fetch = std::max(fetch, fetch_time(job.spec, type));
+      }
+    }
+  }
+  const Seconds time = std::max(start_bound - fetch, start_bound * kLeastTime);
   const Seconds waited = now - job.submitted;
-  if (waited > start_bound * kUrgentAfter) return Rise::urgent;
-  return waited > start_bound * kRisesAfter ? Rise::first_of_its_priority : Rise::none;
+  if (waited > time * kUrgentAfter) return Rise::urgent;
+  return waited > time * kRisesAfter ? Rise::first_of_its_priority : Rise::none;
 }
 
 std::vector<Job*> order_of_work(Ledger& ledger, Seconds now, Seconds start_bound) {
@@ -271,7 +284,8 @@
     sum += run * job->waiting();
     count += job->waiting();
     all.push_back({job.get(), of_fleet * job->waiting(), of_limit * job->waiting(), run,
-                   due_times(ledger, *job), 0, job->submitted, 0});
+                   due_times(ledger, *job), 0, job->submitted, 0,
+                   rise_of(ledger, *job, now, start_bound)});
     shared[job->spec.priority].limits[job->spec.team];  // there, though nothing of it runs
   }
   for (auto& [priority, room] : shared) {
@@ -307,9 +321,8 @@
   }
   const auto key = [&](const Candidate& c) {
     const Job& job = *c.job;
-    const Rise rise = rise_of(job, now, start_bound);
-    if (rise != Rise::none) {
-      const auto priority = rise == Rise::urgent
+    if (c.rise != Rise::none) {
+      const auto priority = c.rise == Rise::urgent
                                 ? std::min(job.spec.priority, protocol::Priority::high)
                                 : job.spec.priority;
       return std::make_tuple(priority, false, 0, job.submitted);
--- a/src/coordination/triage.hpp
+++ b/src/coordination/triage.hpp
@@ -19,14 +19,14 @@
 
 // How a job that has not begun rises with its wait: see order_of_work.
 enum class Rise { none, first_of_its_priority, urgent };
-Rise rise_of(const Job& job, Seconds now, Seconds start_bound);
+Rise rise_of(const Ledger& ledger, const Job& job, Seconds now, Seconds start_bound);
 
 // The jobs that want places, most important first: by priority; within the team's guarantee before
 // beyond it; then those that can still be done in time before those that cannot.
 //
-// Giving up the largest job first is what could starve it: a job that has not begun after half of
-// `start_bound` (0: none) comes before all others of its priority, and after three quarters of it
-// it counts as urgent.
+// Giving up the largest job first is what could starve it: a job that has not begun after three
+// quarters of `start_bound` (0: none), less the time that its image takes, comes before all others
+// of its priority, and soon after that it counts as urgent.
 std::vector<Job*> order_of_work(Ledger& ledger, Seconds now, Seconds start_bound);
 
 }  // namespace larkroad::coordination
