Renting for gangs of one zone looks at all zones

Ruled out: the cloud's requests a second (466 in all), boot times (25 to 50 s).

Change: a gang is given the zone that has room for all of it, or whose markets are open, and of several the one given the least in the round.

--- a/src/coordination/fleet.cpp
+++ b/src/coordination/fleet.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <tuple>
 
 #include "coordination/forecast.hpp"
 #include "coordination/triage.hpp"
@@ -74,7 +75,7 @@
   // How many more of a job's tasks each zone may take; empty: as many as there is room for.
   using ZoneLimits = std::map<std::string, std::uint32_t>;
 
-  ZoneLimits zones_for(const Job& job) const {
+  ZoneLimits zones_for(const Job& job) {
     ZoneLimits out;
     if (job.spec.tasks == 1 || (!job.spec.spread && !job.spec.one_zone)) return out;
     std::map<std::string, std::uint32_t> live;
@@ -91,9 +92,11 @@
       for (const auto& zone : zones) out[zone] = most - std::min(most, live[zone]);
       return out;
     }
-    // All in one zone: where it is already, or where most room for it is.
+    // All in one zone: where it is already, or where room for all of it is, or where more can be
+    // rented; of several such zones the one that has been given the least in this round. Choosing
+    // by room alone sent all gangs to one zone, whose machines were soon rented out.
     if (live_zone.empty()) {
-      double best = -1;
+      std::tuple<bool, bool, double> best{};
       for (const auto& zone : zones) {
         double room = 0;
         for (const Space& space : spaces_) {
@@ -102,16 +105,25 @@
           }
         }
         bool possible = false;
+        bool rentable = false;
         for (const auto& type : ledger_.types()) {
-          possible = possible ||
-                     (std::find(type.zones.begin(), type.zones.end(), zone) != type.zones.end() &&
-                      allows(job.spec, type, zone, false));
+          if (std::find(type.zones.begin(), type.zones.end(), zone) == type.zones.end()) continue;
+          for (const bool spot : {true, false}) {
+            if (!allows(job.spec, type, zone, spot)) continue;
+            possible = true;
+            rentable = rentable || refusals_.open({type.name, zone, spot}, now_);
+          }
         }
-        if (possible && room > best) {
-          best = room;
+        if (!possible) continue;
+        const auto given = given_.find(zone);
+        const std::tuple<bool, bool, double> rank{room >= job.waiting(), rentable,
+                                                  given == given_.end() ? 0 : -given->second};
+        if (live_zone.empty() || rank > best) {
+          best = rank;
           live_zone = zone;
         }
       }
+      given_[live_zone] += job.waiting();
     }
     for (const auto& zone : zones) out[zone] = zone == live_zone ? job.spec.tasks : 0;
     return out;
@@ -208,6 +220,7 @@
   std::vector<Space> spaces_;
   std::map<std::string, Resources> taken_;
   std::map<Market, int> rent_;
+  std::map<std::string, double> given_;  // tasks of gangs bound to one zone, by zone
 };
 
 }  // namespace
--- a/tests/fleet_test.cpp
+++ b/tests/fleet_test.cpp
@@ -74,6 +74,22 @@
   EXPECT_EQ(rented(round()), 1);
 }
 
+// All gangs waited for the machines of one zone, which were soon rented out.
+TEST_F(Fleet, SpreadsGangsOfOneZoneOverTheZones) {
+  for (int i = 0; i < 4; ++i) {
+    auto together = testing::spec("job-" + std::to_string(i), 3, 4);
+    together.team = "blue";
+    together.gang = together.one_zone = true;
+    testing::add(ledger, together);
+  }
+  std::map<std::string, int> by_zone;
+  for (const auto& rent : round().rent) by_zone[rent.market.zone] += rent.count;
+  EXPECT_EQ(by_zone["east"], by_zone["west"]);
+  // What is refused in the one is looked for in the other.
+  for (const auto& type : testing::types()) refusals.refused({type.name, "east", false}, 100, 5, 9);
+  for (const auto& rent : round().rent) EXPECT_EQ(rent.market.zone, "west");
+}
+
 TEST_F(Fleet, NeverRentsBeyondATeamsLimit) {
   testing::add(ledger, testing::spec("job-1", 1000));
   int cpus = 0;
