A silent machine is waited for as long as another would take to boot

Cause: a machine whose lease had run out unanswered went back at once.

Ruled out: proof of the end of their tasks does not need the return (the lease is over), and the list tells of what has died.

Change: it counts as room on its way and is returned after its type's boot time of silence.

--- a/src/coordination/fleet.cpp
+++ b/src/coordination/fleet.cpp
@@ -17,6 +17,9 @@
 // An idle machine is kept for this many times what it takes to boot another.
 constexpr double kIdlePatience = 1;
 
+// A silent machine is waited for this many times what it takes to boot another.
+constexpr double kSilentPatience = 1;
+
 struct Space {
   const MachineType* type;
   std::string zone;
@@ -35,10 +38,8 @@
     // Room that is there or on its way.
     for (const auto& [name, machine] : ledger.machines()) {
       const MachineType* type = ledger.type(machine.type);
-      if (type == nullptr || machine.returning || machine.silent || machine.taken_at ||
-          machine.suspect) {
-        continue;
-      }
+      if (type == nullptr || machine.returning || machine.taken_at || machine.suspect) continue;
+      if (machine.silent && given_up(machine, *type)) continue;
       if (!machine.heard && now - machine.rented_at > kBootPatience * type->boot_s) continue;
       spaces_.push_back(
           {type, machine.zone, machine.spot, machine.room(), &machine, !machine.tasks.empty()});
@@ -72,6 +73,14 @@
   }
 
  private:
+  // A machine whose lease has run out unanswered is waited for as long as another would take to
+  // boot: one that hung or was cut off comes back with its images. Without this many machines that
+  // hung for a little longer than their lease all went back, and were rented anew. The list tells
+  // of one that is gone for good.
+  bool given_up(const Machine& machine, const MachineType& type) const {
+    return now_ - machine.silent_since > kSilentPatience * type.boot_s;
+  }
+
   // How many more of a job's tasks each zone may take; empty: as many as there is room for.
   using ZoneLimits = std::map<std::string, std::uint32_t>;
 
@@ -199,10 +208,8 @@
         }
         continue;
       }
-      // A machine whose lease has run out unanswered holds nothing any more; if it were only cut
-      // off it would have come back to another node by now.
       if (machine.silent) {
-        out.give_back.push_back(name);
+        if (given_up(machine, *type)) out.give_back.push_back(name);
         continue;
       }
       if (!machine.tasks.empty()) continue;
--- a/src/coordination/leader.cpp
+++ b/src/coordination/leader.cpp
@@ -89,6 +89,7 @@
   for (const auto& name : silent) {
     Machine& machine = *ledger_.find_machine(name);
     machine.silent = true;
+    machine.silent_since = now;
     spdlog::info("machine {} is silent: its lease is over", name);
     end_sessions(machine, machine.session + 1);
   }
--- a/src/coordination/ledger.hpp
+++ b/src/coordination/ledger.hpp
@@ -150,6 +150,7 @@
                           // records
   std::optional<Seconds> taken_at;  // from the spot notice
   bool silent = false;              // its lease has run out unanswered; it must report anew
+  Seconds silent_since = -1;        // when that was found
   bool returning = false;
   bool suspect = false;  // every task fails on it
   int failures = 0;
--- a/tests/fleet_test.cpp
+++ b/tests/fleet_test.cpp
@@ -137,5 +137,18 @@
   EXPECT_EQ(round(1000).give_back, (std::vector<std::string>{"i-1", "i-3", "i-4"}));
 }
 
+// Many machines that hung for a little longer than their lease all went back, to be rented anew.
+TEST_F(Fleet, WaitsForASilentMachineAsLongAsAnotherWouldBoot) {
+  Machine& silent = testing::up(ledger, "i-1", "small");
+  silent.silent = true;
+  silent.silent_since = 100;
+  testing::add(ledger, testing::spec("job-1"));
+  EXPECT_TRUE(round(110).give_back.empty());
+  EXPECT_EQ(rented(round(110)), 0);  // it counts as room that is on its way
+  const Seconds later = 101 + ledger.type("small")->boot_s;
+  EXPECT_EQ(round(later).give_back, std::vector<std::string>{"i-1"});
+  EXPECT_EQ(rented(round(later)), 1);
+}
+
 }  // namespace
 }  // namespace larkroad::coordination
