--- a/src/coordination/fleet.cpp
+++ b/src/coordination/fleet.cpp
@@ -102,10 +102,11 @@
       return out;
     }
     // All in one zone: where it is already, or where room for all of it is, or where more can be
-    // rented; of several such zones the one that has been given the least in this round. Choosing
-    // by room alone sent all gangs to one zone, whose machines were soon rented out.
+    // rented; of several such zones one that has room for half of it, and then the one that has
+    // been given the least in this round. Choosing by room alone sent all gangs to one zone, whose
+    // machines were soon rented out.
     if (live_zone.empty()) {
-      std::tuple<bool, bool, double> best{};
+      std::tuple<bool, bool, bool, double> best{};
       for (const auto& zone : zones) {
         double room = 0;
         for (const Space& space : spaces_) {
@@ -125,8 +126,9 @@
         }
         if (!possible) continue;
         const auto given = given_.find(zone);
-        const std::tuple<bool, bool, double> rank{room >= job.waiting(), rentable,
-                                                  given == given_.end() ? 0 : -given->second};
+        const std::tuple<bool, bool, bool, double> rank{room >= job.waiting(), rentable,
+                                                        2 * room >= job.waiting(),
+                                                        given == given_.end() ? 0 : -given->second};
         if (live_zone.empty() || rank > best) {
           best = rank;
           live_zone = zone;
--- a/src/coordination/node.hpp
+++ b/src/coordination/node.hpp
@@ -23,6 +23,8 @@
   void handle_peer(transport::Request request, transport::Respond respond);
 
   const Election& election() const { return election_; }
+  // Whether workers report to all nodes, as far as this one knows; see Homes.
+  bool spreads_workers() const { return spread_; }
 
  private:
   void checkin(std::string body, transport::Respond respond);
--- a/tests/sim/world.cpp
+++ b/tests/sim/world.cpp
@@ -129,6 +129,8 @@
   events.at(events.now() + down, [this, i] { boot(i); });
 }
 
+coordination::Node& World::node(size_t i) { return *hosts_[i]->node; }
+
 size_t World::leader() const {
   for (size_t i = 0; i < hosts_.size(); ++i) {
     if (hosts_[i]->node && hosts_[i]->node->election().leads()) return i;
@@ -289,6 +291,7 @@
   } else {
     Host& host = *hosts_[static_cast<size_t>(to.back() - '0')];
     if (!*host.alive) return;
+    if (request.target == protocol::kRelayPath) ++relayed;
     when_thawed(to, [&host, alive = host.alive, address, request, respond = std::move(respond)] {
       if (!*alive) return;
       if (address.ends_with(":8081")) {
--- a/tests/sim/world.hpp
+++ b/tests/sim/world.hpp
@@ -183,6 +183,7 @@
   // Copies of the machine's last report go on arriving, whatever has become of it.
   void repeat_last_report(const std::string& machine, Seconds length);
   size_t leader() const;  // count of nodes when none leads
+  coordination::Node& node(size_t i);
   bool all_over() const;
   std::string unfinished() const;
 
@@ -203,6 +204,7 @@
   StateStandIn state;
   std::vector<std::shared_ptr<Worker>> workers;
   std::map<std::string, std::set<std::uint32_t>> results;  // of completed tasks
+  size_t relayed = 0;                                      // batches of reports
   std::set<std::string> refused_by_state;                  // nodes it answers 503
 
   // The cloud.
--- a/tests/sim_test.cpp
+++ b/tests/sim_test.cpp
@@ -549,6 +549,60 @@
   for (const auto& line : world.checker.broken()) ADD_FAILURE() << line;
 }
 
+// Only a peer's batch for this very leadership is answered, and nothing else renews a lease.
+TEST(Relayed, BatchesOfOthersAreRefused) {
+  World world(1, {});
+  world.run(10);
+  const size_t leader = world.leader();
+  ASSERT_LT(leader, 3u);
+  const std::uint64_t token = world.node(leader).election().token();
+  const std::string peer = node((leader + 1) % 3);
+  const std::string words =
+      R"({"perch":"i-9","address":"10.1.0.9:9000","breed":"small","yard":"east","loaners":false,)"
+      R"("flight":1,"tick":1,"baton":0,"recallS":null,"legs":[]})";
+  const struct {
+    const char* what;
+    size_t to;
+    std::string member;
+    std::uint64_t token;
+    int status;
+  } cases[] = {
+      {"no peer", leader, "node-7", token, 400},
+      {"itself", leader, node(leader), token, 400},
+      {"an earlier leadership", leader, peer, token - 1, 409},
+      {"a later one", leader, peer, token + 1, 409},
+      {"a node that does not lead", (leader + 1) % 3, node((leader + 2) % 3), token, 421},
+      {"as it should be", leader, peer, token, 200},
+  };
+  for (const auto& c : cases) {
+    Response got;
+    world.node(c.to).handle_peer(
+        {"POST", protocol::kRelayPath,
+         protocol::encode_batch({c.member, c.token, {{words, "", 0, 0, 0}}})},
+        [&](const Response& response) { got = response; });
+    EXPECT_EQ(got.status, c.status) << c.what;
+    EXPECT_EQ(got.body.find("baton") != std::string::npos, c.status == 200) << c.what;
+  }
+  Response got;
+  world.node(leader).handle_peer({"POST", protocol::kRelayPath, "{\"member\":3}"},
+                                 [&](const Response& response) { got = response; });
+  EXPECT_EQ(got.status, 400);
+}
+
+// With few sockets most workers report by way of relays, and with many none does.
+TEST(Relayed, WorkersAreSpreadOnlyWhenTheyMustBe) {
+  for (const int sockets : {kFewSockets, 200}) {
+    Troubles troubles;
+    troubles.sockets = sockets;
+    World world(1, troubles);
+    world.submit_some(60, 30);
+    world.run(40);
+    ASSERT_LT(world.leader(), 3u);
+    EXPECT_EQ(world.node(world.leader()).spreads_workers(), sockets == kFewSockets) << sockets;
+    EXPECT_EQ(world.relayed > 0, sockets == kFewSockets) << sockets;
+  }
+}
+
 INSTANTIATE_TEST_SUITE_P(Scenarios, Run, ::testing::ValuesIn(kScenarios),
                          [](const auto& info) { return std::string(info.param.name); });
 
