--- a/src/coordination/homes.cpp
+++ b/src/coordination/homes.cpp
@@ -6,8 +6,11 @@
 namespace larkroad::coordination {
 namespace {
 
-// The part of a node's sockets that is meant for workers' connections.
-constexpr double kWorkerSockets = 0.4;
+// The part of a node's sockets that is meant for workers' connections. The leader takes fewer: it
+// has the decisions to make, too, and a report from a relay costs it a fraction of one that comes
+// straight.
+constexpr double kLeaderSockets = 0.2;
+constexpr double kRelaySockets = 0.4;
 // Workers come back to the leader when all of them would fill no more than this of its share.
 constexpr double kTogetherBelow = 0.7;
 // A worker that has not reported for this many intervals no longer counts where it was.
@@ -18,7 +21,9 @@
 }  // namespace
 
 Homes::Homes(const Settings& settings)
-    : settings_(settings), share_(static_cast<size_t>(settings.sockets * kWorkerSockets)) {}
+    : settings_(settings),
+      own_share_(static_cast<size_t>(settings.sockets * kLeaderSockets)),
+      relay_share_(static_cast<size_t>(settings.sockets * kRelaySockets)) {}
 
 void Homes::clear(bool spread) {
   spread_ = spread;
@@ -44,14 +49,14 @@
     seat.via = via;
   }
   seat.heard_at = now;
-  if (counts_[via] > share_) spread_ = true;
+  if (counts_[via] > share(via)) spread_ = true;
 }
 
 std::optional<std::string> Homes::elsewhere(const std::string& machine, const std::string& zone,
                                             const std::string& via, Seconds now) {
   Seat& seat = seats_[machine];
   const bool seated = seat.via == via && recent(seat.heard_at, now);
-  if (at(via) + (seated ? 0 : 1) <= share_) return std::nullopt;
+  if (at(via) + (seated ? 0 : 1) <= share(via)) return std::nullopt;
   // One that comes back from where it was sent is served, so that nobody is sent in circles.
   if (recent(seat.sent_on_at, now)) return std::nullopt;
   const PeerSettings* best = nullptr;
@@ -61,7 +66,8 @@
   for (const auto& peer : settings_.peers) {
     const auto told = relays_at_.find(peer.member);
     if (peer.member == via || told == relays_at_.end() ||
-        now - told->second > settings_.report_s * kRelayReports || at(peer.member) >= share_) {
+        now - told->second > settings_.report_s * kRelayReports ||
+        at(peer.member) >= relay_share_) {
       continue;
     }
     if (best == nullptr || rank(peer) < rank(*best)) best = &peer;
@@ -82,9 +88,9 @@
     if (recent(seat.heard_at, now)) ++counts_[seat.via];
   }
   if (!machines) return;
-  if (*machines > share_) {
+  if (*machines > own_share_) {
     spread_ = true;
-  } else if (static_cast<double>(*machines) < kTogetherBelow * static_cast<double>(share_)) {
+  } else if (static_cast<double>(*machines) < kTogetherBelow * static_cast<double>(own_share_)) {
     spread_ = false;
   }
 }
--- a/src/coordination/homes.hpp
+++ b/src/coordination/homes.hpp
@@ -31,8 +31,8 @@
   void count(std::optional<size_t> machines, Seconds now);
   // Whether workers are spread over the nodes at present.
   bool spread() const { return spread_; }
-  // The most workers that a node is to hold.
-  size_t share() const { return share_; }
+  // The most workers that are to report to a node; empty: to the leader itself.
+  size_t share(const std::string& via) const { return via.empty() ? own_share_ : relay_share_; }
   size_t at(const std::string& via) const;
 
  private:
@@ -44,7 +44,8 @@
   bool recent(Seconds when, Seconds now) const;
 
   const Settings& settings_;
-  size_t share_;
+  size_t own_share_;
+  size_t relay_share_;
   bool spread_ = false;
   std::unordered_map<std::string, Seat> seats_;
   std::map<std::string, size_t> counts_;
--- a/tests/relay_test.cpp
+++ b/tests/relay_test.cpp
@@ -231,9 +231,9 @@
     homes.relays("node-2", 0);  // in the east
   }
   // Workers from `from` to `to` come straight to the leader; how many were sent on, and where to.
-  std::map<std::string, int> come(size_t from, size_t to, Seconds now) {
+  std::map<std::string, int> come(int from, int to, Seconds now) {
     std::map<std::string, int> out;
-    for (size_t i = from; i < to; ++i) {
+    for (int i = from; i < to; ++i) {
       const std::string name = "i-" + std::to_string(i);
       const auto home = homes.elsewhere(name, "east", "", now);
       ++out[home.value_or("")];
@@ -243,25 +243,26 @@
   }
   Settings settings;
   Homes homes;
+  const int own = static_cast<int>(homes.share(""));
+  const int relay = static_cast<int>(homes.share("node-1"));
 };
 
 TEST_F(HomesTest, KeepAFewWorkersTogether) {
-  EXPECT_EQ(come(0, homes.share(), 1), (std::map<std::string, int>{{"", homes.share()}}));
+  EXPECT_EQ(come(0, own, 1), (std::map<std::string, int>{{"", own}}));
   EXPECT_FALSE(homes.spread());
 }
 
 TEST_F(HomesTest, SpreadManyOverTheRelaysTheirOwnZoneFirst) {
-  const size_t share = homes.share();
-  const int all = static_cast<int>(share);
-  EXPECT_EQ(come(0, 3 * share, 1),
-            (std::map<std::string, int>{{"", all}, {"node-1", all}, {"node-2", all}}));
+  EXPECT_GT(relay, own);
+  EXPECT_EQ(come(0, own + relay + 5, 1),
+            (std::map<std::string, int>{{"", own}, {"node-1", 5}, {"node-2", relay}}));
   EXPECT_TRUE(homes.spread());
   // Those who are seated stay.
-  EXPECT_EQ(come(0, share, 2), (std::map<std::string, int>{{"", all}}));
+  EXPECT_EQ(come(0, own, 2), (std::map<std::string, int>{{"", own}}));
 }
 
 TEST_F(HomesTest, SendNobodyInCircles) {
-  come(0, homes.share(), 1);
+  come(0, own, 1);
   EXPECT_EQ(come(900, 901, 1).count(""), 0u);
   EXPECT_EQ(come(900, 901, 1.2).count(""), 1u);  // it comes back: it is served
 }
@@ -272,7 +273,7 @@
 }
 
 TEST_F(HomesTest, ARelayWithTooManyPassesThemOn) {
-  for (size_t i = 0; i < homes.share(); ++i) {
+  for (size_t i = 0; i < static_cast<size_t>(relay); ++i) {
     homes.reported("i-" + std::to_string(i), "node-1", 1);
   }
   EXPECT_EQ(homes.elsewhere("i-0", "west", "node-1", 1), std::nullopt);
@@ -280,13 +281,13 @@
 }
 
 TEST_F(HomesTest, WorkersComeBackWhenThereAreFew) {
-  come(0, homes.share() + 1, 1);
+  come(0, own + 1, 1);
   ASSERT_TRUE(homes.spread());
   homes.count(std::nullopt, 2);  // how many there are is not known yet
   EXPECT_TRUE(homes.spread());
-  homes.count(homes.share(), 2);
+  homes.count(own, 2);
   EXPECT_TRUE(homes.spread());
-  homes.count(homes.share() / 2, 2);
+  homes.count(own / 2, 2);
   EXPECT_FALSE(homes.spread());
 }
 
