Rounds pass full machines over once, not once for each waiting job

Change: what has no room for the least that any waiting task needs is left out for the round; a search for tasks to stop that failed spares like jobs the same; ids are no longer copied in sorts.

A test counts the machines looked at, at 2,000 machines and 1,000 jobs.

A round still builds its view of all machines and orders all waiting jobs.

--- a/src/coordination/fleet.cpp
+++ b/src/coordination/fleet.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <optional>
 #include <tuple>
 
 #include "coordination/forecast.hpp"
@@ -27,6 +28,7 @@
   Resources room;
   const Machine* machine = nullptr;  // null: on order
   bool wanted = false;               // something is, or may soon be, placed here
+  bool full = false;                 // no waiting task fits any more
 };
 
 double hourly(const MachineType& type, bool spot) { return spot ? type.spot_price : type.price; }
@@ -59,10 +61,20 @@
 
   FleetPlan run(Seconds start_bound) {
     FleetPlan out;
+    // Most machines of a busy fleet are full: they are passed over once, not once for each job.
+    const auto forecasts = forecast(ledger_, now_);
+    least_ = least_need(ledger_);
+    for (const auto& f : forecasts) {
+      const Resources need = needs_of(*f.spec);
+      if (!least_) least_ = need;
+      *least_ = {std::min(least_->cpus, need.cpus), std::min(least_->gpus, need.gpus),
+                 std::min(least_->memory_gb, need.memory_gb)};
+    }
+    for (Space& space : spaces_) space.full = !least_ || !space.room.fits(*least_);
     for (Job* job : order_of_work(ledger_, now_, start_bound)) {
       cover(job->spec, job->waiting(), zones_for(*job));
     }
-    for (const auto& f : forecast(ledger_, now_)) {
+    for (const auto& f : forecasts) {
       cover(*f.spec, static_cast<std::uint32_t>(std::ceil(f.missing())), {});
     }
     for (const auto& [market, count] : rent_) {
@@ -110,7 +122,8 @@
       for (const auto& zone : zones) {
         double room = 0;
         for (const Space& space : spaces_) {
-          if (space.zone == zone && allows(job.spec, *space.type, zone, space.spot)) {
+          if (!space.full && space.zone == zone &&
+              allows(job.spec, *space.type, zone, space.spot)) {
             room += space.room.times(needs_of(job.spec));
           }
         }
@@ -161,12 +174,13 @@
         taken_[spec.team] += need;
       }
       if (fit > 0) space.wanted = true;
+      space.full = !space.room.fits(*least_);
       count -= fit;
       if (!zones.empty()) zones[space.zone] -= fit;
     };
     for (Space& space : spaces_) {
       if (count == 0) return;
-      if (allows(spec, *space.type, space.zone, space.spot)) take(space);
+      if (!space.full && allows(spec, *space.type, space.zone, space.spot)) take(space);
     }
     while (count > 0) {
       // The market with the lowest price for each task that it takes.
@@ -229,6 +243,7 @@
   std::vector<Space> spaces_;
   std::map<std::string, Resources> taken_;
   std::map<Market, int> rent_;
+  std::optional<Resources> least_;
   std::map<std::string, double> given_;  // tasks of gangs bound to one zone, by zone
 };
 
--- a/src/coordination/planner.cpp
+++ b/src/coordination/planner.cpp
@@ -25,7 +25,8 @@
   Machine* machine = nullptr;
   size_t pool = 0;
   Resources room;
-  Resources coming;  // of what is being stopped on it, less what is claimed of that
+  Resources coming;           // of what is being stopped on it, less what is claimed of that
+  bool worth_asking = false;  // has room for some waiting task, or may have by stopping others
   std::optional<std::map<std::string, double>> fetching;  // images on their way, with their sizes
 };
 
@@ -35,6 +36,7 @@
   std::string zone;
   bool spot = false;
   std::vector<Slot*> slots;
+  std::vector<Slot*> open;  // those that have room for some waiting task, counting what is held
 };
 
 // Room kept for what may come of a more important class.
@@ -54,6 +56,14 @@
   protocol::Priority priority;
 };
 
+// The same for the search for tasks to stop: so many of a job's tasks found no room even so.
+struct FailedStop {
+  Failed failed;
+  std::uint32_t wanted;
+  bool one_zone;
+  bool spread;
+};
+
 class Round {
  public:
   Round(Ledger& ledger, Holds& holds, Seconds now, const PlanLimits& limits)
@@ -65,11 +75,14 @@
       if (type == nullptr || !machine.usable(now)) continue;
       const auto [at, made] =
           pool_of.try_emplace({type, machine.zone, machine.spot}, pools_.size());
-      if (made) pools_.push_back({type, machine.zone, machine.spot, {}});
-      slots_.push_back({&machine, at->second, machine.room(), {}, {}});
+      if (made) pools_.push_back({type, machine.zone, machine.spot, {}, {}});
+      slots_.push_back({&machine, at->second, machine.room(), {}, false, {}});
     }
+    // Most machines of a busy fleet are full: they are passed over once, not once for each job.
+    const auto least = least_need(ledger_);
     for (Slot& slot : slots_) {
       pools_[slot.pool].slots.push_back(&slot);
+      if (least && slot.room.fits(*least)) pools_[slot.pool].open.push_back(&slot);
       by_name_[slot.machine->name] = &slot;
     }
     for (const auto& [id, job] : ledger_.jobs()) {
@@ -141,6 +154,7 @@
                 -static_cast<double>(assignment.tasks.size()));
       out.assignments.push_back(std::move(assignment));
     }
+    out.looked_at = offers_;
     return out;
   }
 
@@ -369,7 +383,8 @@
     for (Pool& pool : pools_) {
       if (!zone.empty() && pool.zone != zone) continue;
       if (!allows(job.spec, *pool.type, pool.zone, pool.spot)) continue;
-      for (Slot* slot : pool.slots) {
+      for (Slot* slot : pool.open) {
+        ++offers_;
         const double price = offer(job, *slot);
         if (price >= 0) offers.emplace_back(price, slot);
       }
@@ -497,13 +512,22 @@
   void survey() {
     if (surveyed_) return;
     surveyed_ = true;
+    for (const Pool& pool : pools_) {
+      for (Slot* slot : pool.open) slot->worth_asking = true;
+    }
     for (const auto& [id, job] : ledger_.jobs()) {
       for (const auto& [task, p] : job->live) {
         if (p.stopping) {
-          if (Slot* slot = slot_of(p.machine)) slot->coming += needs_of(job->spec);
+          if (Slot* slot = slot_of(p.machine)) {
+            slot->coming += needs_of(job->spec);
+            slot->worth_asking = true;
+          }
           coming_quota_[job->spec.team] += needs_of(job->spec);
         } else if (job->standing() > protocol::Priority::production && stoppable(*job, p)) {
-          if (slot_of(p.machine) != nullptr) on_slot_[p.machine].push_back({job.get(), &p});
+          if (Slot* slot = slot_of(p.machine)) {
+            on_slot_[p.machine].push_back({job.get(), &p});
+            slot->worth_asking = true;
+          }
           of_team_[job->spec.team].push_back({job.get(), &p});
         }
       }
@@ -520,6 +544,16 @@
     const std::uint32_t wanted = job.spec.gang ? job.waiting() : 1;
     if (wanted == 0) return;
     const Resources need = needs_of(job.spec);
+    const Holds::Hold* own = holds_.find(job.id());
+    const auto allowed = allowed_pools(job.spec);
+    if (own == nullptr &&
+        std::any_of(failed_stops_.begin(), failed_stops_.end(), [&](const FailedStop& f) {
+          return f.failed.priority <= job.spec.priority && f.wanted <= wanted &&
+                 need.fits(f.failed.need) && f.failed.allowed == allowed &&
+                 (job.spec.one_zone || !f.one_zone) && (job.spec.spread || !f.spread);
+        })) {
+      return;
+    }
     const Resources limit_need{need.cpus, need.gpus, 0};
     const Seconds left = next_start(job).value_or(now_ + 1e12) - now_;
     std::vector<Victim> victims;
@@ -584,7 +618,6 @@
       undo();
       return;
     }
-    const Holds::Hold* own = holds_.find(job.id());
     const auto room_on = [&](const Slot& slot) {
       Resources room = slot.room;
       room += slot.coming;
@@ -632,6 +665,8 @@
         if (!zone.empty() && pool.zone != zone) continue;
         if (!allows(job.spec, *pool.type, pool.zone, pool.spot)) continue;
         for (Slot* slot : pool.slots) {
+          if (!slot->worth_asking) continue;
+          ++offers_;
           const double loss = price(*slot, whom);
           if (loss >= 0) offers.emplace_back(loss, slot->machine->name, slot);
         }
@@ -683,6 +718,11 @@
       }
     }
     undo();
+    // Of a job that has tasks somewhere its zones are narrowed down: that says nothing of others.
+    if (live->empty() && own == nullptr) {
+      failed_stops_.push_back(
+          {{allowed, need, job.spec.priority}, wanted, job.spec.one_zone, job.spec.spread});
+    }
   }
 
   Ledger& ledger_;
@@ -694,6 +734,8 @@
   std::unordered_map<std::string, Slot*> by_name_;
   std::vector<Reserve> reserves_;
   std::vector<Failed> failed_;
+  std::vector<FailedStop> failed_stops_;
+  size_t offers_ = 0;               // looked at, all jobs together
   std::vector<GpuNeed> gpu_needs_;  // of work that waits for room
   std::map<std::string, Resources> taken_;
   std::map<std::string, Resources> claimed_;  // by those for whom others are being stopped
--- a/src/coordination/planner.hpp
+++ b/src/coordination/planner.hpp
@@ -61,6 +61,7 @@
   std::vector<Assignment> assignments;
   std::vector<Preemption> preemptions;
   size_t stopped_at = 0;  // not 0: time ran out, and the next round goes on from here
+  size_t looked_at = 0;   // machines, once for each job that considered them: what a round costs
 };
 
 // Decides one round. Does not change the ledger: the caller places what is assigned.
--- a/src/coordination/triage.cpp
+++ b/src/coordination/triage.cpp
@@ -162,9 +162,11 @@
 // What is given up is left for its next time, or for the end.
 void keep_in_time(std::vector<Candidate*>& jobs, Seconds now, Shared& shared, int rank,
                   std::vector<Candidate*>& given_up) {
-  std::sort(jobs.begin(), jobs.end(), [](const Candidate* a, const Candidate* b) {
-    return std::make_tuple(a->start_by(), a->job->id()) <
-           std::make_tuple(b->start_by(), b->job->id());
+  const auto before = [](double x, const Candidate* a, double y, const Candidate* b) {
+    return x != y ? x < y : a->job->id() < b->job->id();
+  };
+  std::sort(jobs.begin(), jobs.end(), [&](const Candidate* a, const Candidate* b) {
+    return before(a->start_by(), a, b->start_by(), b);
   });
   std::vector<Candidate*> kept;
   for (Candidate* c : jobs) {
@@ -181,11 +183,9 @@
       if (limit_full && x->job->spec.team != team) return -1.0;
       return limit_full ? x->size_of_limit : x->size;
     };
-    const auto largest =
-        std::max_element(kept.begin(), kept.end(), [&](const Candidate* a, const Candidate* b) {
-          return std::make_tuple(weight(a), a->job->id()) <
-                 std::make_tuple(weight(b), b->job->id());
-        });
+    const auto largest = std::max_element(
+        kept.begin(), kept.end(),
+        [&](const Candidate* a, const Candidate* b) { return before(weight(a), a, weight(b), b); });
     shared.promised -= (*largest)->size;
     shared.promised_of_limit[(*largest)->job->spec.team] -= (*largest)->size_of_limit;
     given_up.push_back(*largest);
@@ -228,6 +228,21 @@
   return out;
 }
 
+std::optional<Resources> least_need(const Ledger& ledger) {
+  std::optional<Resources> out;
+  for (const auto& [id, job] : ledger.jobs()) {
+    if (job->waiting() == 0) continue;
+    const Resources need = needs_of(job->spec);
+    if (!out) {
+      out = need;
+    } else {
+      *out = {std::min(out->cpus, need.cpus), std::min(out->gpus, need.gpus),
+              std::min(out->memory_gb, need.memory_gb)};
+    }
+  }
+  return out;
+}
+
 std::set<std::string> within_guarantee(const Ledger& ledger) {
   std::map<std::string, std::vector<const Job*>> by_team;
   for (const auto& [id, job] : ledger.jobs()) {
@@ -283,9 +298,8 @@
     const double of_limit = capacity.part_of_limit(job->spec);
     const double of_fleet = capacity.known() ? capacity.part_of_fleet(job->spec) : of_limit;
     for (const auto& [task, p] : job->live) {
-      const Seconds left = p.running_since < 0
-                               ? run
-                               : std::max(running - (now - p.running_since), running / 4);
+      const Seconds left =
+          p.running_since < 0 ? run : std::max(running - (now - p.running_since), running / 4);
       shared[job->spec.priority].fleet.add(of_fleet, left, run);
       // A team's limit is shared with its more important work.
       for (int rank = static_cast<int>(job->spec.priority);
--- a/src/coordination/triage.hpp
+++ b/src/coordination/triage.hpp
@@ -1,6 +1,7 @@
 // The order of work: which waiting job is served next, and which can no longer be served in time.
 #pragma once
 
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -17,6 +18,10 @@
 // jobs that are not over.
 std::set<std::string> within_guarantee(const Ledger& ledger);
 
+// The least that any waiting task needs, of each resource by itself: what has less room than this
+// is full. Nothing when none waits.
+std::optional<Resources> least_need(const Ledger& ledger);
+
 // How a job that has not begun rises with its wait: see order_of_work.
 enum class Rise { none, first_of_its_priority, urgent };
 Rise rise_of(const Ledger& ledger, const Job& job, Seconds now, Seconds start_bound);
--- a/tests/planner_test.cpp
+++ b/tests/planner_test.cpp
@@ -57,6 +57,37 @@
   EXPECT_EQ(placed(round(), "job-1"), 1u);
 }
 
+// What a round costs, by counted work: a full fleet is not gone through for each waiting job, and
+// what has come free is all that they look at.
+TEST_F(Planner, ARoundCostsByWhatIsFreeNotByMachinesTimesJobs) {
+  constexpr int kMachines = 2000;
+  constexpr int kJobs = 1000;
+  for (auto& team : settings.teams) team.cpus_max = 1e6;
+  JobSpec filling = testing::spec("job-0", kMachines, 16);
+  Job& filler = testing::add(ledger, filling);
+  for (int i = 0; i < kMachines; ++i) {
+    Machine& m = testing::up(ledger, "i-" + std::to_string(i), "large", i % 2 ? "east" : "west");
+    ledger.place(filler, static_cast<std::uint32_t>(i), m, 1, 0);
+  }
+  runs(filler, [](std::uint32_t) -> Seconds { return 50; });
+  for (int i = 1; i <= kJobs; ++i) {
+    auto spec = testing::spec("job-" + std::to_string(i), 4, 4);
+    spec.gang = spec.one_zone = i % 2 == 0;
+    spec.team = i % 3 == 0 ? "red" : "blue";
+    testing::add(ledger, spec, i * 0.01);
+  }
+  EXPECT_EQ(round().looked_at, 0u);
+  ledger.unplace(filler, 7, 100);
+  const Plan one_free = round();
+  EXPECT_EQ(one_free.assignments.size(), 1u);
+  EXPECT_LE(one_free.looked_at, 2u * kJobs);
+  // Urgent work that finds nothing looks for what to stop: once for its kind, not once a job.
+  for (int i = 1; i <= kJobs; ++i)
+    ledger.job("job-" + std::to_string(i))->spec.priority = protocol::Priority::production;
+  filler.spec.priority = protocol::Priority::production;
+  EXPECT_LE(round().looked_at, 2u * kJobs + 4u * kMachines);
+}
+
 // Who comes first when a large job and a later, small one cannot both be done in time.
 TEST_F(Planner, TriageKeepsInTimeWhatCanBe) {
   const struct {
