--- a/src/coordination/forecast.cpp
+++ b/src/coordination/forecast.cpp
@@ -6,19 +6,6 @@
 namespace larkroad::coordination {
 namespace {
 
-// The soonest that a machine rented now could run a task.
-Seconds soonest_start(const Ledger& ledger, const JobSpec& spec) {
-  Seconds soonest = -1;
-  for (const auto& type : ledger.types()) {
-    if (type.zones.empty() || !allows(spec, type, spec.zone.value_or(type.zones.front()), false)) {
-      continue;
-    }
-    const Seconds fetch = fetch_time(spec, type);
-    if (soonest < 0 || type.boot_s + fetch < soonest) soonest = type.boot_s + fetch;
-  }
-  return soonest;
-}
-
 // The number that a Poisson-like count with this mean and spread exceeds with chance `miss`.
 double quantile(double mean, double variance, double miss) {
   // An upper bound of the normal quantile: generous, and without a table.
@@ -32,7 +19,7 @@
   for (const auto& [name, picture] : ledger.classes()) {
     const JobSpec& spec = picture.latest;
     double share = 0;
-    const Seconds soonest = soonest_start(ledger, spec);
+    const Seconds soonest = soonest_start(ledger, spec, true);
     for (const auto& aim : ledger.settings().objectives) {
       if (aim.kind != "wait" || aim.job_class != name || aim.within_s >= soonest) continue;
       share = std::max(share, aim.share);
--- a/src/coordination/ledger.cpp
+++ b/src/coordination/ledger.cpp
@@ -322,6 +322,18 @@
   return type.fetch_gb_per_s > 0 ? spec.image_gb / type.fetch_gb_per_s : 0;
 }
 
+Seconds soonest_start(const Ledger& ledger, const JobSpec& spec, bool boots) {
+  Seconds soonest = -1;
+  for (const auto& type : ledger.types()) {
+    if (type.zones.empty() || !allows(spec, type, spec.zone.value_or(type.zones.front()), false)) {
+      continue;
+    }
+    const Seconds start = (boots ? type.boot_s : 0) + fetch_time(spec, type);
+    if (soonest < 0 || start < soonest) soonest = start;
+  }
+  return soonest;
+}
+
 bool allows(const JobSpec& spec, const MachineType& type, const std::string& zone, bool spot) {
   if (spot && !spec.spot) return false;
   if (spec.zone && *spec.zone != zone) return false;
--- a/src/coordination/ledger.hpp
+++ b/src/coordination/ledger.hpp
@@ -249,6 +249,10 @@
 // How long a machine of this type fetches the job's image, with the network to itself.
 Seconds fetch_time(const JobSpec& spec, const MachineType& type);
 
+// How soon a task of the job can run on a machine that has nothing of it: one that is up, or one
+// that has to boot first; negative when no type takes it.
+Seconds soonest_start(const Ledger& ledger, const JobSpec& spec, bool boots);
+
 // Whether a machine of this type, zone and kind may run the job's tasks at all.
 bool allows(const JobSpec& spec, const MachineType& type, const std::string& zone, bool spot);
 
--- a/src/coordination/triage.cpp
+++ b/src/coordination/triage.cpp
@@ -197,18 +197,6 @@
   }
 }
 
-Seconds shortest_fetch(const Ledger& ledger, const JobSpec& spec) {
-  Seconds out = -1;
-  for (const auto& type : ledger.types()) {
-    if (type.zones.empty() || !allows(spec, type, spec.zone.value_or(type.zones.front()), false)) {
-      continue;
-    }
-    const Seconds fetch = fetch_time(spec, type);
-    if (out < 0 || fetch < out) out = fetch;
-  }
-  return std::max(out, 0.0);
-}
-
 }  // namespace
 
 std::vector<Seconds> due_times(const Ledger& ledger, const Job& job) {
@@ -291,7 +279,7 @@
   for (const auto& [id, job] : ledger.jobs()) {
     // A place is taken from the fetch of the image on.
     const Seconds running = ledger.expected_run(job->spec);
-    const Seconds run = running + shortest_fetch(ledger, job->spec);
+    const Seconds run = running + std::max(0.0, soonest_start(ledger, job->spec, false));
     const bool waits = job->waiting() > 0;
     if (job->live.empty() && !waits) continue;
     // Before any machine is known the team's limit alone tells.
