--- a/src/coordination/node.cpp
+++ b/src/coordination/node.cpp
@@ -149,8 +149,9 @@
   if (election_.may_answer_reports()) {
     respond(leader_.checkin(report));
     // Peers must know at once that workers stay with them from now on, or they would send on to
-    // this node those that it sends to them.
-    if (leader_.homes().spread() != told_spread_) tell_peers_now();
+    // this node those that it sends to them. Past its lease it has nothing to tell, and would
+    // otherwise tell it again with each report.
+    if (election_.leads() && leader_.homes().spread() != told_spread_) tell_peers_now();
     return;
   }
   aim_relay();
