After a last read: one way to take the least of needs; a report's words are kept where they arrive

The component-wise least of needs stood twice (triage, fleet). The leader kept a relayed report for unchanged ones too and then set its tick back; now only reports that came in words are kept. The order of work skips what neither runs nor waits before it works out its times.

--- a/src/coordination/fleet.cpp
+++ b/src/coordination/fleet.cpp
@@ -66,9 +66,7 @@
     least_ = least_need(ledger_);
     for (const auto& f : forecasts) {
       const Resources need = needs_of(*f.spec);
-      if (!least_) least_ = need;
-      *least_ = {std::min(least_->cpus, need.cpus), std::min(least_->gpus, need.gpus),
-                 std::min(least_->memory_gb, need.memory_gb)};
+      least_ = least_ ? least_of(*least_, need) : need;
     }
     for (Space& space : spaces_) space.full = !least_ || !space.room.fits(*least_);
     for (Job* job : order_of_work(ledger_, now_, start_bound)) {
--- a/src/coordination/leader_workers.cpp
+++ b/src/coordination/leader_workers.cpp
@@ -42,7 +42,6 @@
     const bool stale = !newer(report, machine);
     if (ready_) commands = process(report, From::worker);
     machine.answered_at = std::max(machine.answered_at, stale ? machine.heard_at : now);
-    if (!via.empty() && !stale) machine.relayed = report;
     if (!election_.leads()) {
       // Past its lease it keeps what runs alive and stops what must end, but starts nothing.
       std::erase_if(commands, [](const Command& c) { return c.op != Op::kill; });
@@ -83,9 +82,12 @@
       continue;
     }
     auto response = checkin(report, batch.member);
-    // What the next one is told to be the same as keeps its tick.
-    if (item.words.empty()) {
-      if (Machine* machine = ledger_.find_machine(item.machine)) machine->relayed.tick = item.base;
+    // What the next ones may be told to be the same as.
+    Machine* machine = item.words.empty() ? nullptr : ledger_.find_machine(report.machine);
+    if (response.status == 200 && machine != nullptr &&
+        std::tie(report.session, report.tick) >
+            std::tie(machine->relayed.session, machine->relayed.tick)) {
+      machine->relayed = std::move(report);
     }
     out.push_back({response.status, std::move(response.body)});
   }
--- a/src/coordination/ledger.cpp
+++ b/src/coordination/ledger.cpp
@@ -48,6 +48,10 @@
   return most <= 0 ? 0 : static_cast<std::uint32_t>(most);
 }
 
+Resources least_of(const Resources& a, const Resources& b) {
+  return {std::min(a.cpus, b.cpus), std::min(a.gpus, b.gpus), std::min(a.memory_gb, b.memory_gb)};
+}
+
 Resources needs_of(const JobSpec& spec) { return {spec.cpus, spec.gpus, spec.memory_gb}; }
 Resources capacity_of(const MachineType& type) { return {type.cpus, type.gpus, type.memory_gb}; }
 
--- a/src/coordination/ledger.hpp
+++ b/src/coordination/ledger.hpp
@@ -39,6 +39,8 @@
   // How many times `need` fits into this.
   std::uint32_t times(const Resources& need) const;
 };
+// The least of each resource by itself.
+Resources least_of(const Resources& a, const Resources& b);
 Resources needs_of(const JobSpec& spec);
 Resources capacity_of(const MachineType& type);
 
--- a/src/coordination/triage.cpp
+++ b/src/coordination/triage.cpp
@@ -221,12 +221,7 @@
   for (const auto& [id, job] : ledger.jobs()) {
     if (job->waiting() == 0) continue;
     const Resources need = needs_of(job->spec);
-    if (!out) {
-      out = need;
-    } else {
-      *out = {std::min(out->cpus, need.cpus), std::min(out->gpus, need.gpus),
-              std::min(out->memory_gb, need.memory_gb)};
-    }
+    out = out ? least_of(*out, need) : need;
   }
   return out;
 }
@@ -277,11 +272,11 @@
   std::vector<Candidate> all;
   std::map<protocol::Priority, std::pair<Seconds, double>> runs;  // summed, and how many
   for (const auto& [id, job] : ledger.jobs()) {
+    const bool waits = job->waiting() > 0;
+    if (job->live.empty() && !waits) continue;
     // A place is taken from the fetch of the image on.
     const Seconds running = ledger.expected_run(job->spec);
     const Seconds run = running + std::max(0.0, soonest_start(ledger, job->spec, false));
-    const bool waits = job->waiting() > 0;
-    if (job->live.empty() && !waits) continue;
     // Before any machine is known the team's limit alone tells.
     const double of_limit = capacity.part_of_limit(job->spec);
     const double of_fleet = capacity.known() ? capacity.part_of_fleet(job->spec) : of_limit;
