--- a/src/coordination/fleet.cpp
+++ b/src/coordination/fleet.cpp
@@ -162,7 +162,7 @@
     if (team == nullptr) return;
     Resources used = ledger_.used_by(spec.team);
     used += taken_[spec.team];
-    const Resources left{team->cpus_max - used.cpus, team->gpus_max - used.gpus, 1e12};
+    const Resources left{team->cpus_max - used.cpus, team->gpus_max - used.gpus, kNoLimit};
     count = std::min(count, left.times({spec.cpus, spec.gpus, 0}));
     const Resources need = needs_of(spec);
     const auto take = [&](Space& space) {
--- a/src/coordination/front.cpp
+++ b/src/coordination/front.cpp
@@ -33,7 +33,7 @@
   }
   if (zones.empty()) return "a task fits no allowed machine type";
   const std::uint32_t together = spec.gang ? spec.tasks : 1;
-  const Resources limit{team->cpus_max, team->gpus_max, 1e12};
+  const Resources limit{team->cpus_max, team->gpus_max, kNoLimit};
   if (limit.times({spec.cpus, spec.gpus, 0}) < together) {
     return "the job needs more than its team's limit";
   }
--- a/src/coordination/planner.cpp
+++ b/src/coordination/planner.cpp
@@ -197,7 +197,7 @@
       const auto it = more->find(job.spec.team);
       if (it != more->end()) used += it->second;
     }
-    return {team->cpus_max - used.cpus, team->gpus_max - used.gpus, 1e12};
+    return {team->cpus_max - used.cpus, team->gpus_max - used.gpus, kNoLimit};
   }
 
   std::uint32_t quota_room(const Job& job) const {
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -26,6 +26,13 @@
   init_logging(std::getenv("LOG_LEVEL"), settings.member);
   spdlog::info("larkroad {} of {} controllers, zone {}", settings.member, settings.node_count(),
                settings.zone);
+  const auto limit = [](double most) {
+    return most < kNoLimit ? fmt::format("{}", most) : "any number";
+  };
+  for (const auto& team : settings.teams) {
+    spdlog::info("team {}: guaranteed {} CPUs and {} GPUs, at most {} and {}", team.name, team.cpus,
+                 team.gpus, limit(team.cpus_max), limit(team.gpus_max));
+  }
 
   asio::io_context io(1);
   transport::AsioClock clock(io);
--- a/src/settings.cpp
+++ b/src/settings.cpp
@@ -197,8 +197,12 @@
     t.cpus_max = team.number_or("cpus_max", 0, t.cpus);
     t.gpus = team.number_or("gpus", 0, 0);
     t.gpus_max = team.number_or("gpus_max", 0, t.gpus);
+    // 0 means none: a guest team has neither a guarantee nor a limit. Taken for a limit of nothing,
+    // all that such a team sent was refused. One with a limit of one kind only has none of the
+    // other kind, which is the reading that can break no limit.
     if (t.cpus_max < t.cpus) fail(team.name("cpus_max"), "must not be less than cpus");
     if (t.gpus_max < t.gpus) fail(team.name("gpus_max"), "must not be less than gpus");
+    if (t.cpus_max == 0 && t.gpus_max == 0) t.cpus_max = t.gpus_max = kNoLimit;
     if (s.team(t.name) != nullptr) fail(team.name("name"), "is named twice: " + t.name);
     s.teams.push_back(std::move(t));
   }
--- a/src/settings.hpp
+++ b/src/settings.hpp
@@ -24,6 +24,9 @@
   Address addr;
 };
 
+// A team's limit that the settings give as 0, which means none: above what any fleet has.
+inline constexpr double kNoLimit = 1e12;
+
 struct TeamSettings {
   std::string name;
   double cpus = 0;
--- a/tests/codec_test.cpp
+++ b/tests/codec_test.cpp
@@ -89,7 +89,8 @@
 }
 
 TEST(Submission, NeverRunnable) {
-  const Settings settings = testing::settings();
+  Settings settings = testing::settings();
+  settings.teams.push_back({"guests", 0, kNoLimit, 0, kNoLimit});
   const auto types = testing::types();
   const struct {
     const char* what;
@@ -127,6 +128,12 @@
          s.tasks = 16;
        },
        true},
+      {"a guest team, which has no limit",
+       [](JobSpec& s) {
+         s.team = "guests";
+         s.tasks = 25'000;
+       },
+       true},
       {"gpus for a team that has none",
        [](JobSpec& s) {
          s.team = "blue";
--- a/tests/settings_test.cpp
+++ b/tests/settings_test.cpp
@@ -22,6 +22,16 @@
   ASSERT_EQ(s.teams.size(), 2u);
   EXPECT_DOUBLE_EQ(s.team("red")->gpus_max, 4);
   EXPECT_DOUBLE_EQ(s.team("blue")->gpus_max, 0);
+  // A guest team: neither a guarantee nor a limit.
+  for (const char* given : {"", "cpus = 0.0\ncpus_max = 0.0\ngpus = 0.0\ngpus_max = 0.0\n"}) {
+    const auto guests =
+        parse_settings(replaced(testing::settings_text(), "[[cluster.objectives]]",
+                                "[[cluster.teams]]\nname = \"guests\"\n" + std::string(given) +
+                                    "\n[[cluster.objectives]]"));
+    EXPECT_DOUBLE_EQ(guests.team("guests")->cpus, 0) << given;
+    EXPECT_DOUBLE_EQ(guests.team("guests")->cpus_max, kNoLimit) << given;
+    EXPECT_DOUBLE_EQ(guests.team("guests")->gpus_max, kNoLimit) << given;
+  }
   EXPECT_EQ(s.team("green"), nullptr);
   ASSERT_EQ(s.objectives.size(), 1u);
   EXPECT_DOUBLE_EQ(s.objectives[0].within_s, 1);
