A machine forgets a task only when a copy of its direct launch would be refused

Now an exited task is kept on its machine until the worker has seen a higher token than that of the launch; with more than six kept on a machine the token is raised.

--- a/src/coordination/leader.hpp
+++ b/src/coordination/leader.hpp
@@ -89,6 +89,7 @@
   enum class From { worker, call };
   Commands process(const protocol::Report& report, From from);
   void process_task(Machine& machine, const protocol::TaskReport& task, Commands& commands);
+  bool may_forget(Machine& machine, const protocol::TaskReport& task);
   void exited(Machine& machine, Job& job, const protocol::TaskReport& task);
   void absent(Machine& machine, Job& job, Placement& placement, From from, Commands& commands);
   double grace(const Job& job) const;
--- a/src/coordination/leader_workers.cpp
+++ b/src/coordination/leader_workers.cpp
@@ -19,6 +19,8 @@
 // An error or a refusal keeps a job or a machine waiting for this many reports.
 constexpr double kPauseReports = 1;
 constexpr double kLongestPauseReports = 16;
+// Exited tasks that a machine keeps for want of a higher token, before that is raised for them.
+constexpr int kKeptMost = 6;
 
 // Whether a report tells more than what is known of its machine.
 bool newer(const protocol::Report& report, const Machine& machine) {
@@ -157,6 +159,7 @@
     machine.taken_at.reset();
   }
 
+  machine.kept = 0;
   std::set<std::pair<TaskId, std::uint64_t>> reported;
   for (const auto& task : report.tasks) {
     reported.insert({task.id, task.attempt});
@@ -180,6 +183,7 @@
 void Leader::end_sessions(Machine& machine, std::uint64_t session) {
   const auto tasks = machine.tasks;
   machine.doubts.clear();
+  machine.launched.clear();
   for (const auto& id : tasks) {
     Job* job = ledger_.job(id.job);
     if (job == nullptr) continue;
@@ -217,7 +221,7 @@
     if (const auto doubt = machine.doubts.find({task.id, task.attempt});
         doubt != machine.doubts.end()) {
       if (doubt->second.answer_to == 0) want_fence(doubt->second);
-    } else if (durable) {
+    } else if (durable && may_forget(machine, task)) {
       commands.push_back({Op::forget, task.id, task.attempt, 0});
     }
     return;
@@ -255,6 +259,21 @@
   }
 }
 
+// A copy of a direct launch may still come to a machine that has forgotten the task: what failed or
+// was stopped there and runs elsewhere by now would run twice, and even one that is done takes its
+// room once more, beyond its team's limit perhaps. So a task is kept there until the worker has
+// seen a higher token than that of its launch; when many are, the token is raised for them.
+bool Leader::may_forget(Machine& machine, const protocol::TaskReport& task) {
+  const auto it = machine.launched.find({task.id, task.attempt});
+  if (it == machine.launched.end()) return true;
+  if (it->second >= machine.token_seen) {
+    if (++machine.kept > kKeptMost) fence_wanted_ = true;
+    return false;
+  }
+  machine.launched.erase(it);
+  return true;
+}
+
 void Leader::exited(Machine& machine, Job& job, const protocol::TaskReport& task) {
   const Seconds now = clock_.now();
   spdlog::info("task {} attempt {} on {} exited: {}{}", task.id.text(), task.attempt, machine.name,
@@ -378,6 +397,7 @@
     }
     placement.stage = Placement::Stage::launched;
     machine->doubts[{{job.id(), task}, placement.attempt}] = {election_.token(), true};
+    machine->launched[{{job.id(), task}, placement.attempt}] = election_.token();
     by_machine[placement.machine].push_back({Op::launch, {job.id(), task}, placement.attempt, 0});
   }
   for (auto& [machine, commands] : by_machine) direct(machine, std::move(commands));
--- a/src/coordination/ledger.hpp
+++ b/src/coordination/ledger.hpp
@@ -155,6 +155,7 @@
   bool silent = false;              // its lease has run out unanswered; it must report anew
   Seconds silent_since = -1;        // when that was found
   bool returning = false;
+  int kept = 0;          // exited tasks that it may not forget yet, as of its last report
   bool suspect = false;  // every task fails on it
   int failures = 0;
   Seconds refused_until = 0;  // it said `full`: its room is not what it seems
@@ -163,6 +164,9 @@
   Resources used;
   std::set<TaskId> tasks;
   std::map<std::pair<TaskId, std::uint64_t>, Doubt> doubts;  // by task and attempt
+  // Launches that this leader sent straight to the machine, and under which token. A late copy of
+  // one is carried out until the worker has seen a higher token, once its task is forgotten there.
+  std::map<std::pair<TaskId, std::uint64_t>, std::uint64_t> launched;
   std::map<std::string, std::pair<double, Seconds>> images;  // size and last use, as guessed
   bool images_changed = false;                               // since they were recorded
   protocol::Report relayed;  // the last one in whole that came by way of a relay
--- a/tests/meetings_test.cpp
+++ b/tests/meetings_test.cpp
@@ -376,6 +376,23 @@
          w.events.at(125, [&w, i] { w.refused_by_state.erase(node(i)); });
        });
      }},
+    // Commands that were carried out and answered arrive once more, after their tasks were stopped
+    // or failed, were forgotten and run elsewhere.
+    {"copies_of_direct_commands",
+     {0.002, 0.002, 25, 0.3, 0, 0, 200, 0, 1, 0.7, 0.05},
+     [](World& w) {
+       // Low work that urgent work pushes aside again and again, at its team's limit.
+       for (int k = 0; k < 90; ++k) {
+         JobSpec s = testing::spec("job-" + std::to_string(5000 + k), 1 + k % 4, 3);
+         s.team = k % 2 == 0 ? "red" : "blue";
+         s.estimate_s = k % 3 == 0 ? 5 : 15;
+         s.priority = k % 3 == 0 ? protocol::Priority::high : protocol::Priority::low;
+         w.submit(s, 5 + 1.2 * k);
+       }
+       for (int k = 0; k < 12; ++k) {
+         w.events.at(20 + 10 * k, [&w] { w.cancel_now(2); });
+       }
+     }},
     {"more_work_than_room",
      {0.002, 0.002, 25, 0.1},
      [](World& w) {
--- a/tests/sim/worker.cpp
+++ b/tests/sim/worker.cpp
@@ -5,8 +5,6 @@
 namespace larkroad::sim {
 namespace {
 
-constexpr Seconds kFetch = 1;
-
 TaskId task_id(const std::string& text) {
   const auto slash = text.rfind('/');
   return {text.substr(0, slash), static_cast<std::uint32_t>(std::stoul(text.substr(slash + 1)))};
@@ -190,7 +188,7 @@
     }
   }
   changed();
-  world_.events.at(world_.events.now() + kFetch,
+  world_.events.at(world_.events.now() + world_.troubles.fetch,
                    [this, key, serial = task.serial] { has_image(key, serial); });
 }
 
--- a/tests/sim/world.cpp
+++ b/tests/sim/world.cpp
@@ -267,6 +267,13 @@
       deliver(from, address, request, [](const Response&) {});
     });
   }
+  if (troubles.copied_commands > 0 && request.target == protocol::kCommandsPath &&
+      chance() < troubles.copied_commands) {
+    const Seconds copy = now + 1 + chance() * 3 * settings.lease_s;
+    events.at(copy, [this, from, address, request] {
+      deliver(from, address, request, [](const Response&) {});
+    });
+  }
   if (request.target == protocol::kReportPath) last_report_[from] = request;
   const bool lost = chance() < troubles.lost;
   const bool slow =
--- a/tests/sim/world.hpp
+++ b/tests/sim/world.hpp
@@ -167,6 +167,8 @@
   int sockets = 200;  // of each node; few of them make workers spread over the nodes
   double cancelled_at_end = 0;  // jobs that are called off at the moment of their end
   double questions = 1;         // users ask so many times as often as usual
+  double copied_commands = 0;   // direct commands that are carried out once more, late
+  Seconds fetch = 1;            // how long a machine takes for an image
 };
 
 class World {
