A leader that no worker reaches makes way for a controller that they reach

Now a leader that heard nobody for a third of the workers' lease, though four or more machines were there, steps down when a peer that the state service answers says that workers come to it, and leaves it to the others for a lease. Test Leadership.GoesWhereTheWorkersAre.

--- a/src/coordination/election.cpp
+++ b/src/coordination/election.cpp
@@ -125,6 +125,7 @@
 
 void Election::campaign(std::uint64_t replaced_mark) {
   if (campaigning_ || token_ != 0) return;
+  if (clock_.now() < abstains_until_) return;  // the watch brings the next chance
   campaigning_ = true;
   grant_sent_ = clock_.now();
   state_.grant(life_, [this, replaced_mark](Status status, std::uint64_t lease) {
@@ -242,6 +243,12 @@
   lose(why);
 }
 
+void Election::step_down(const std::string& why, Seconds abstain) {
+  if (token_ == 0) return;
+  abstains_until_ = clock_.now() + abstain;
+  lose(why);
+}
+
 void Election::superseded(std::uint64_t token) {
   if (token_ == 0 || token <= token_) return;
   lose("a newer token has been seen: " + std::to_string(token));
--- a/src/coordination/election.hpp
+++ b/src/coordination/election.hpp
@@ -50,6 +50,8 @@
   void superseded(std::uint64_t token);
   // Gives the leadership up, to start anew from what is recorded.
   void resign(const std::string& why);
+  // The same, and leaves it to the others for so long.
+  void step_down(const std::string& why, Seconds abstain);
 
  private:
   bool holds_lease() const;
@@ -75,6 +77,7 @@
   Seconds renewed_at_ = 0;
   std::optional<Seconds> viewed_at_;  // see view_proved; none: the records are still being read
   Seconds grant_sent_ = 0;
+  Seconds abstains_until_ = -1;
   bool campaigning_ = false;
   bool confirming_ = false;
   bool raising_ = false;
--- a/src/coordination/leader.hpp
+++ b/src/coordination/leader.hpp
@@ -46,6 +46,9 @@
   // Whether a batch for the leader with this token is for this leadership.
   bool is_token(std::uint64_t token) const;
   Homes& homes() { return homes_; }
+  // Whether machines that reported are not heard any more, all of them at once: -1 when not, else
+  // since when.
+  Seconds unheard_since() const;
 
   std::unordered_map<std::string, Front::Progress> progress() const;
 
--- a/src/coordination/leader_workers.cpp
+++ b/src/coordination/leader_workers.cpp
@@ -19,6 +19,8 @@
 // An error or a refusal keeps a job or a machine waiting for this many reports.
 constexpr double kPauseReports = 1;
 constexpr double kLongestPauseReports = 16;
+// So few machines may all be gone at once; of more the silence says something of this node.
+constexpr int kFewMachines = 4;
 // Exited tasks that a machine keeps for want of a higher token, before that is raised for them.
 constexpr int kKeptMost = 6;
 
@@ -52,6 +54,17 @@
   return {200, protocol::encode_report_answer(election_.token(), commands), 0, true};
 }
 
+Seconds Leader::unheard_since() const {
+  Seconds newest = ready_at_;
+  int there = 0;
+  for (const auto& [name, machine] : ledger_.machines()) {
+    if (!machine.heard || machine.silent) continue;
+    ++there;
+    newest = std::max(newest, machine.heard_at);
+  }
+  return ready_ && there >= kFewMachines ? newest : -1;
+}
+
 bool Leader::is_token(std::uint64_t token) const {
   return token >= first_token_ && token <= election_.token();
 }
--- a/src/coordination/node.cpp
+++ b/src/coordination/node.cpp
@@ -21,6 +21,9 @@
 constexpr Seconds kForwardWithin = 0.5;
 // A leader that is still loading keeps a report for this part of the report interval at most.
 constexpr double kLoadingRatio = 1.0 / 5;
+// A leader that no worker has reached for this part of their lease makes way for one that they
+// reach, and leaves it to the others for a lease.
+constexpr double kUnheardRatio = 1.0 / 3;
 constexpr const char* kPeerPath = "/peer";
 constexpr const char* kUserPath = "/user";
 
@@ -152,6 +155,7 @@
     respond({400, protocol::encode_error(error.what()), 0});
     return;
   }
+  workers_came_at_ = clock_.now();
   serve_report(std::move(body), std::move(report), std::move(respond),
                clock_.now() + settings_.report_s * kLoadingRatio);
 }
@@ -222,8 +226,22 @@
   }
 }
 
+void Node::mind_workers() {
+  if (!election_.leads()) return;
+  const Seconds now = clock_.now();
+  const Seconds since = leader_.unheard_since();
+  if (since < 0 || now - since < settings_.lease_s * kUnheardRatio) return;
+  const bool others = std::any_of(peer_hears_.begin(), peer_hears_.end(), [&](const auto& peer) {
+    return now - peer.second < settings_.report_s;
+  });
+  if (others) {
+    election_.step_down("no worker reaches it, and they reach its peers", settings_.lease_s);
+  }
+}
+
 void Node::tell_peers() {
   clock_.after(settings_.report_s * kTellRatio, [this] { tell_peers(); });
+  mind_workers();
   tell_peers_now();
 }
 
@@ -232,6 +250,9 @@
   protocol::Json message{{"member", settings_.member},
                          {"served", state_.answered_ever() && state_.failing_for() == 0},
                          {"token", election_.token()}};
+  if (workers_came_at_ >= 0 && clock_.now() - workers_came_at_ < settings_.report_s) {
+    message["workers"] = true;
+  }
   // Whom this node relays to, if it reaches them.
   if (relay_.works()) message["relays_to"] = relay_.aimed_at();
   if (election_.leads()) {
@@ -284,7 +305,10 @@
     const auto message = protocol::parse_object(request.body);
     const std::string member = protocol::text(message, "member");
     const std::uint64_t token = protocol::integer(message, "token");
-    if (protocol::boolean(message, "served")) peer_serves_[member] = clock_.now();
+    if (protocol::boolean(message, "served")) {
+      peer_serves_[member] = clock_.now();
+      if (protocol::find(message, "workers") != nullptr) peer_hears_[member] = clock_.now();
+    }
     election_.superseded(token);
     if (const auto* to = protocol::find(message, "relays_to"); to != nullptr && election_.holds()) {
       if (*to == settings_.member) leader_.homes().relays(member, clock_.now());
--- a/src/coordination/node.hpp
+++ b/src/coordination/node.hpp
@@ -37,6 +37,8 @@
   bool wait_for_loading(Seconds until, std::function<void()> again);
   void cancelled_elsewhere(const std::string& body, const transport::Respond& respond);
   bool is_peer(const std::string& member) const;
+  // A leader that no worker reaches any more, while they reach its peers, makes way.
+  void mind_workers();
   void tell_peers();
   void tell_peers_now();
   // Points the relay at whoever leads, by the state service or by what a peer said of itself.
@@ -67,6 +69,10 @@
   bool told_spread_ = false;  // what this node last said of it, when leading
   // When each peer last said that the state service answers it.
   std::map<std::string, Seconds> peer_serves_;
+  // When workers last came to each peer that the state service answers, as it said, and to this
+  // node.
+  std::map<std::string, Seconds> peer_hears_;
+  Seconds workers_came_at_ = -1;
   size_t next_peer_ = 0;
 };
 
--- a/tests/meetings_test.cpp
+++ b/tests/meetings_test.cpp
@@ -431,6 +431,29 @@
   for (const auto& line : world.checker.broken()) ADD_FAILURE() << line;
 }
 
+// A leader that loses only the workers makes way for one that they reach, before their leases end.
+TEST(Leadership, GoesWhereTheWorkersAre) {
+  for (const std::uint64_t seed : {1, 2, 3}) {
+    World world(seed, {});
+    submit_long(world);
+    size_t first = 3;
+    to_leader(world, 40, [&](size_t i) {
+      first = i;
+      world.cut(node(i), "workers", 60);
+    });
+    world.run(39);
+    ASSERT_GT(running(world), 4u);
+    const size_t before = running(world);
+    world.run(40 + 0.8 * world.settings.lease_s);
+    ASSERT_LT(world.leader(), 3u);
+    EXPECT_NE(world.leader(), first);
+    world.run(40 + 3 * world.settings.lease_s);
+    EXPECT_EQ(running(world), before) << "seed " << seed;
+    EXPECT_NE(world.leader(), first);  // it leaves it there
+    for (const auto& line : world.checker.broken()) ADD_FAILURE() << line;
+  }
+}
+
 class Meeting : public ::testing::TestWithParam<Scenario> {};
 
 TEST_P(Meeting, KeepsTheRulesAndFinishes) {
