--- a/tests/sim/world.cpp
+++ b/tests/sim/world.cpp
@@ -294,6 +294,12 @@
     if (refused_by_state.contains(from)) {
       respond({503, "{}", 0});
     } else {
+      if (request.target == "/commit") {
+        respond = [this, from, request, respond = std::move(respond)](const Response& response) {
+          if (response.status == 200) commits.emplace_back(from, request);
+          respond(response);
+        };
+      }
       state.handle(request, from, std::move(respond));
     }
   } else if (to == "cloud") {
@@ -326,6 +332,13 @@
   }
 }
 
+int World::commit_again(const std::pair<std::string, Request>& commit) {
+  int status = 0;
+  state.handle(commit.second, commit.first,
+               [&](const Response& response) { status = response.status; });
+  return status;
+}
+
 const JobSpec* World::spec(const std::string& id) const {
   const auto it = submitted_.find(id);
   return it == submitted_.end() ? nullptr : &it->second;
--- a/tests/sim/world.hpp
+++ b/tests/sim/world.hpp
@@ -50,6 +50,10 @@
   void set_outage(bool on);
   // Watches of this node are answered no more until then, though all else is.
   void hold_watches(const std::string& node, Seconds until) { held_[node] = until; }
+  bool has_keys(const std::string& prefix) const {
+    const auto it = keys_.lower_bound(prefix);
+    return it != keys_.end() && it->first.starts_with(prefix);
+  }
 
  private:
   struct Key {
@@ -225,7 +229,11 @@
   std::vector<std::shared_ptr<Worker>> workers;
   std::map<std::string, std::set<std::uint32_t>> results;  // of completed tasks
   size_t relayed = 0;                                      // batches of reports
-  std::set<std::string> refused_by_state;                  // nodes it answers 503
+  std::vector<std::pair<std::string, Request>> commits;    // by whom, and not refused
+  // Carried out once more: its status.
+  int commit_again(const std::pair<std::string, Request>& commit);
+  bool has_keys(const std::string& prefix) const { return state.has_keys(prefix); }
+  std::set<std::string> refused_by_state;  // nodes it answers 503
 
   // The cloud.
   void cloud(const Request& request, const Respond& respond);
