--- a/src/coordination/leader.cpp
+++ b/src/coordination/leader.cpp
@@ -166,6 +166,8 @@
     spdlog::info("task {}/{} gives way to {}", victim.job, victim.task, victim.for_job);
     stop(*job, it->second, victim.save ? grace(*job) : 0);
   }
+  ++activity_.planning_rounds;
+  activity_.planning_time += clock_.now() - begun;
   plan_next_ = clock_.now() + (clock_.now() - begun) * kPlanPause;
   if (plan_from_ != 0) request_plan();
 }
--- a/src/coordination/leader.hpp
+++ b/src/coordination/leader.hpp
@@ -115,7 +115,7 @@
   void request_plan();
   void make_plan();
   void fleet_round();
-  void log_use() const;
+  void log_use();
   void list_machines();
   void list_page(const std::string& after, Seconds begun);
   void listed(Seconds begun);
@@ -160,6 +160,16 @@
   Seconds plan_next_ = 0;  // no round before this
   bool fence_wanted_ = false;
   Seconds fenced_at_ = 0;
+  // What the leader did since the last line on the use of the fleet; for that line alone.
+  struct Activity {
+    int planning_rounds = 0;
+    Seconds planning_time = 0;
+    Seconds fleet_time = 0;
+    size_t reports = 0;
+    size_t direct_calls = 0;
+    size_t reported_tasks = 0;
+  };
+  Activity activity_;
 };
 
 }  // namespace larkroad::coordination
--- a/src/coordination/leader_cloud.cpp
+++ b/src/coordination/leader_cloud.cpp
@@ -24,8 +24,10 @@
   if (!election_.leads() || !catalog_.known()) return;
   // Until the machines of an earlier leader have had time to report, what is there is not known.
   if (!listed_once_ || clock_.now() - ready_at_ < settings_.report_s * 1.5) return;
+  const Seconds begun = clock_.now();
   const FleetPlan decided = plan_fleet(ledger_, refusals_, pending_rentals_, clock_.now(),
                                        settings_.operators.start_bound_s);
+  activity_.fleet_time += clock_.now() - begun;
   for (const auto& wanted : decided.rent) rent(wanted.market, wanted.count);
   if (!decided.give_back.empty()) give_back(decided.give_back);
 }
@@ -51,7 +53,7 @@
 }
 
 // One line on how the fleet is used, for those who look for room.
-void Leader::log_use() const {
+void Leader::log_use() {
   struct Use {
     int up = 0, coming = 0, idle = 0;
     Resources all, placed, running;
@@ -94,6 +96,11 @@
     line += fmt::format(" {} waits: {} jobs {} tasks;", name, count.first, count.second);
   }
   spdlog::debug("fleet (running/placed/all){}", line);
+  spdlog::debug(
+      "activity: {} planning rounds {:.1f} ms, fleet {:.1f} ms, {} reports of {} tasks, {} calls",
+      activity_.planning_rounds, activity_.planning_time * 1e3, activity_.fleet_time * 1e3,
+      activity_.reports, activity_.reported_tasks, activity_.direct_calls);
+  activity_ = {};
 }
 
 void Leader::rent(const Market& market, int count) {
--- a/src/coordination/leader_workers.cpp
+++ b/src/coordination/leader_workers.cpp
@@ -112,6 +112,8 @@
 Leader::Commands Leader::process(const protocol::Report& report, From from) {
   const Seconds now = clock_.now();
   Commands commands;
+  ++activity_.reports;
+  activity_.reported_tasks += report.tasks.size();
   if (gone_machines_.contains(report.machine)) return commands;
   Machine& machine = ledger_.machine(report.machine);
   if (!newer(report, machine)) return commands;
@@ -419,6 +421,7 @@
 void Leader::direct(const std::string& name, Commands commands) {
   const Machine& machine = *ledger_.find_machine(name);
   const std::uint64_t token = election_.token();
+  ++activity_.direct_calls;
   client_.call(
       machine.address,
       {"POST", protocol::kCommandsPath,
--- a/src/coordination/planner.cpp
+++ b/src/coordination/planner.cpp
@@ -56,9 +56,24 @@
   protocol::Priority priority;
 };
 
+// Whose tasks a job may have stopped, see Round::rights_of.
+struct PreemptionRights {
+  bool by_priority = false;   // those of lower priority
+  bool by_guarantee = false;  // those that other teams run beyond their own guarantee
+  std::string team;
+
+  bool any() const { return by_priority || by_guarantee; }
+  // Whether whatever the others allow is allowed by these, too.
+  bool cover(const PreemptionRights& others) const {
+    return (by_priority || !others.by_priority) &&
+           (!others.by_guarantee || (by_guarantee && team == others.team));
+  }
+};
+
 // The same for the search for tasks to stop: so many of a job's tasks found no room even so.
 struct FailedStop {
   Failed failed;
+  PreemptionRights rights;
   std::uint32_t wanted;
   bool one_zone;
   bool spread;
@@ -147,7 +162,7 @@
         }
       }
       if (assignment.tasks.empty()) {
-        if (may_preempt(*job)) preempt_for(*job, out);
+        if (const auto rights = rights_of(*job); rights.any()) preempt_for(*job, rights, out);
         continue;
       }
       take_room(taken_[job->spec.team], needs_of(job->spec),
@@ -479,6 +494,30 @@
     return job.spec.priority != protocol::Priority::normal || pressed(job);
   }
 
+  bool is_guaranteed(const Job& job) {
+    if (!guaranteed_) guaranteed_ = within_guarantee(ledger_);
+    return guaranteed_->contains(job.id());
+  }
+
+  // A job within its team's guarantee need not wait for work that another team runs beyond its own,
+  // so it gives that no time to end by itself.
+  PreemptionRights rights_of(const Job& job) {
+    return {may_preempt(job), is_guaranteed(job), job.spec.team};
+  }
+
+  // Work of higher priority is never stopped for a guarantee: it would stop this job in its turn,
+  // again and again. Of equal priority only guests' work is: it comes last in the order, whereas
+  // another team's might take the room that is freed before this job does.
+  bool may_stop(const Job& job, const PreemptionRights& rights, const Job& owner) {
+    const auto priority = owner.standing();
+    if (rights.by_priority && priority > job.spec.priority) return true;
+    if (!rights.by_guarantee || owner.spec.team == job.spec.team || is_guaranteed(owner)) {
+      return false;
+    }
+    return priority > job.spec.priority ||
+           (priority == job.spec.priority && is_guest(ledger_.settings(), owner.spec.team));
+  }
+
   struct Victim {
     const Job* job;
     const Placement* placement;
@@ -539,7 +578,7 @@
   // important work before the last has left. What is being stopped already counts as room to
   // come, so that nothing is stopped twice for one need. Of a gang all members find room or
   // nothing is stopped.
-  void preempt_for(const Job& job, Plan& out) {
+  void preempt_for(const Job& job, const PreemptionRights& rights, Plan& out) {
     survey();
     const std::uint32_t wanted = job.spec.gang ? job.waiting() : 1;
     if (wanted == 0) return;
@@ -549,7 +588,7 @@
     if (own == nullptr &&
         std::any_of(failed_stops_.begin(), failed_stops_.end(), [&](const FailedStop& f) {
           return f.failed.priority <= job.spec.priority && f.wanted <= wanted &&
-                 need.fits(f.failed.need) && f.failed.allowed == allowed &&
+                 f.rights.cover(rights) && need.fits(f.failed.need) && f.failed.allowed == allowed &&
                  (job.spec.one_zone || !f.one_zone) && (job.spec.spread || !f.spread);
         })) {
       return;
@@ -587,7 +626,12 @@
     const auto able = [&](const std::vector<std::pair<const Job*, const Placement*>>& from) {
       std::vector<Victim> list;
       for (const auto& [owner, p] : from) {
-        if (owner->standing() > job.spec.priority && !stopped_.contains({owner->id(), p->task})) {
+        // Nor is GPU work stopped for what needs none, unless that is urgent.
+        if (job.spec.gpus <= 0 && owner->spec.gpus > 0 &&
+            job.spec.priority > protocol::Priority::high) {
+          continue;
+        }
+        if (may_stop(job, rights, *owner) && !stopped_.contains({owner->id(), p->task})) {
           list.push_back(victim(*owner, *p, left));
         }
       }
@@ -636,11 +680,6 @@
                         ? 0
                         : fetch_time(job.spec, *pools_[slot.pool].type);
       Resources room = room_on(slot);
-      // Nor is GPU work stopped for what needs none, unless that is urgent.
-      if (job.spec.gpus <= 0 && slot.machine->capacity.gpus > 0 &&
-          job.spec.priority > protocol::Priority::high && !room.fits(need)) {
-        return -1;
-      }
       if (room.fits(need)) return loss;
       const auto there = on_slot_.find(slot.machine->name);
       if (there == on_slot_.end()) return -1;
@@ -721,7 +760,7 @@
     // Of a job that has tasks somewhere its zones are narrowed down: that says nothing of others.
     if (live->empty() && own == nullptr) {
       failed_stops_.push_back(
-          {{allowed, need, job.spec.priority}, wanted, job.spec.one_zone, job.spec.spread});
+          {{allowed, need, job.spec.priority}, rights, wanted, job.spec.one_zone, job.spec.spread});
     }
   }
 
@@ -745,6 +784,7 @@
   std::map<std::string, std::vector<std::pair<const Job*, const Placement*>>> of_team_;
   std::set<TaskId> stopped_;
   bool holder_ = false;
+  std::optional<std::set<std::string>> guaranteed_;  // jobs within their team's guarantee
 };
 
 }  // namespace
--- a/src/coordination/triage.cpp
+++ b/src/coordination/triage.cpp
@@ -226,6 +226,11 @@
   return out;
 }
 
+bool is_guest(const Settings& settings, const std::string& team) {
+  const TeamSettings* known = settings.team(team);
+  return known == nullptr || (known->cpus <= 0 && known->gpus <= 0);
+}
+
 std::set<std::string> within_guarantee(const Ledger& ledger) {
   std::map<std::string, std::vector<const Job*>> by_team;
   for (const auto& [id, job] : ledger.jobs()) {
@@ -331,15 +336,19 @@
       rest = std::move(given_up);
     }
   }
+  std::map<std::string, bool> guests;
+  for (const TeamSettings& team : ledger.settings().teams) {
+    guests[team.name] = is_guest(ledger.settings(), team.name);
+  }
   const auto key = [&](const Candidate& c) {
     const Job& job = *c.job;
     if (c.rise != Rise::none) {
       const auto priority = c.rise == Rise::urgent
                                 ? std::min(job.spec.priority, protocol::Priority::high)
                                 : job.spec.priority;
-      return std::make_tuple(priority, 0, false, job.submitted);
+      return std::make_tuple(priority, false, 0, false, job.submitted);
     }
-    return std::make_tuple(job.spec.priority, c.rank, !guaranteed.contains(job.id()), c.sort_time);
+    return std::make_tuple(job.spec.priority, guests[job.spec.team], c.rank, !guaranteed.contains(job.id()), c.sort_time);
   };
   std::sort(all.begin(), all.end(), [&](const Candidate& a, const Candidate& b) {
     const auto ka = key(a);
--- a/src/coordination/triage.hpp
+++ b/src/coordination/triage.hpp
@@ -18,6 +18,9 @@
 // jobs that are not over.
 std::set<std::string> within_guarantee(const Ledger& ledger);
 
+// Whether nothing is guaranteed to the team: its work gets what the others leave.
+bool is_guest(const Settings& settings, const std::string& team);
+
 // The least that any waiting task needs, of each resource by itself: what has less room than this
 // is full. Nothing when none waits.
 std::optional<Resources> least_need(const Ledger& ledger);
