--- /dev/null
+++ b/src/coordination/cycle_view.cpp
@@ -0,0 +1,199 @@
+#include "coordination/cycle_view.hpp"
+
+#include <algorithm>
+#include <tuple>
+
+#include "coordination/forecast.hpp"
+#include "coordination/triage.hpp"
+
+namespace larkroad::coordination {
+namespace {
+
+// The part of all room for a class that may be kept for what may come of it.
+constexpr double kReserveMost = 0.5;
+
+}  // namespace
+
+void take_room(Resources& room, const Resources& each, double count) {
+  room.cpus -= each.cpus * count;
+  room.gpus -= each.gpus * count;
+  room.memory_gb -= each.memory_gb * count;
+}
+
+CycleView::CycleView(Ledger& ledger, const GangHolds& holds, Seconds now)
+    : ledger_(ledger), now_(now) {
+  add_machines();
+  add_gpu_needs();
+  for (const auto& [job, hold] : holds.all()) {
+    for (const auto& [name, count] : hold.tasks) {
+      if (MachineView* view = find(name)) take_room(view->room, hold.each, count);
+    }
+  }
+  add_reserves();
+}
+
+void CycleView::add_machines() {
+  machines_.reserve(ledger_.machines().size());
+  std::map<std::tuple<const MachineType*, std::string, bool>, size_t> pool_of;
+  for (auto& [name, machine] : ledger_.machines()) {
+    const MachineType* type = ledger_.type(machine.type);
+    if (type == nullptr || !machine.usable(now_)) continue;
+    const auto [at, made] = pool_of.try_emplace({type, machine.zone, machine.spot}, pools_.size());
+    if (made) pools_.push_back({type, machine.zone, machine.spot, {}, {}});
+    machines_.push_back({&machine, at->second, machine.room(), {}, {}});
+  }
+  const auto least = least_need(ledger_);
+  by_name_.reserve(machines_.size());
+  for (MachineView& view : machines_) {
+    MachinePool& pool = pools_[view.pool];
+    pool.machines.push_back(&view);
+    if (least && view.room.fits(*least)) pool.open.push_back(&view);
+    by_name_[view.machine->name] = &view;
+  }
+}
+
+void CycleView::add_gpu_needs() {
+  for (const auto& [id, job] : ledger_.jobs()) {
+    if (job->spec.gpus <= 0 || job->waiting() == 0) continue;
+    const Resources need = needs_of(job->spec);
+    const bool known = std::any_of(gpu_needs_.begin(), gpu_needs_.end(),
+                                   [&](const GpuNeed& other) { return other.need == need; });
+    if (!known) gpu_needs_.push_back({allowed_pools(job->spec), need});
+  }
+}
+
+void CycleView::add_reserves() {
+  for (const auto& expected : forecast(ledger_, now_)) {
+    ClassReserve reserve{expected.spec, expected.missing(), 0, allowed_pools(*expected.spec), {}};
+    const Resources need = needs_of(*expected.spec);
+    double most = 0;
+    for (const MachineView& view : machines_) {
+      if (!reserve.allowed[view.pool]) continue;
+      reserve.fits += view.room.times(need);
+      most += view.machine->capacity.times(need);
+    }
+    // However much may come, the less important work keeps its part of the machines.
+    reserve.missing = std::min(reserve.missing, most * kReserveMost);
+    for (const auto& [team, wanted] : expected.wanted_by_team) {
+      const auto there = expected.present_by_team.find(team);
+      const double present = there == expected.present_by_team.end() ? 0 : there->second;
+      reserve.missing_by_team[team] = std::max(0.0, wanted - present);
+    }
+    reserves_.push_back(std::move(reserve));
+  }
+}
+
+MachineView* CycleView::find(const std::string& machine) const {
+  const auto it = by_name_.find(machine);
+  return it == by_name_.end() ? nullptr : it->second;
+}
+
+std::vector<bool> CycleView::allowed_pools(const JobSpec& spec) const {
+  std::vector<bool> out;
+  out.reserve(pools_.size());
+  for (const MachinePool& pool : pools_) {
+    out.push_back(allows(spec, *pool.type, pool.zone, pool.spot));
+  }
+  return out;
+}
+
+Resources CycleView::limit_left(const std::string& name) const {
+  const TeamSettings* team = ledger_.settings().team(name);
+  if (team == nullptr) return {};
+  Resources used = ledger_.used_by(name);
+  const auto taken = taken_.find(name);
+  if (taken != taken_.end()) used += taken->second;
+  return {team->cpus_max - used.cpus, team->gpus_max - used.gpus, kNoLimit};
+}
+
+std::uint32_t CycleView::tasks_within_limit(const Job& job, protocol::Priority priority) const {
+  Resources left = limit_left(job.spec.team);
+  for (const ClassReserve& reserve : reserves_) {
+    if (reserve.spec->priority >= priority) continue;
+    const auto missing = reserve.missing_by_team.find(job.spec.team);
+    if (missing == reserve.missing_by_team.end()) continue;
+    left.cpus -= missing->second * reserve.spec->cpus;
+    left.gpus -= missing->second * reserve.spec->gpus;
+  }
+  return left.times({job.spec.cpus, job.spec.gpus, 0});
+}
+
+void CycleView::take_limit(const Job& job, double tasks) {
+  take_room(taken_[job.spec.team], needs_of(job.spec), -tasks);
+}
+
+void CycleView::take(const Job& job, MachineView& view) {
+  for (ClassReserve& reserve : reserves_) {
+    if (reserve.allowed[view.pool]) reserve.fits -= lost_fits(reserve, job, view);
+  }
+  view.room -= needs_of(job.spec);
+  if (view.fetching && !view.machine->images.contains(job.spec.image)) {
+    (*view.fetching)[job.spec.image] = job.spec.image_gb;
+  }
+}
+
+void CycleView::give_back(const Job& job, MachineView& view) {
+  view.room += needs_of(job.spec);
+  view.fetching.reset();  // seen anew when it matters
+  for (ClassReserve& reserve : reserves_) {
+    if (reserve.allowed[view.pool]) reserve.fits += lost_fits(reserve, job, view);
+  }
+}
+
+void CycleView::free_held(const GangHolds::Hold& hold) {
+  for (const auto& [name, count] : hold.tasks) {
+    if (MachineView* view = find(name)) {
+      take_room(view->room, hold.each, -static_cast<double>(count));
+    }
+  }
+}
+
+std::optional<ZoneCounts> CycleView::live_zones(const Job& job) const {
+  ZoneCounts out;
+  if (!job.spec.one_zone && !job.spec.spread) return out;
+  for (const auto& [task, placement] : job.live) {
+    if (const Machine* machine = ledger_.find_machine(placement.machine)) ++out[machine->zone];
+  }
+  if (out.contains("")) return std::nullopt;
+  return out;
+}
+
+double CycleView::blocked_gpus(const Job& job, const MachineView& view) const {
+  const Resources& all = view.machine->capacity;
+  if (job.spec.gpus > 0 || all.gpus <= 0) return 0;
+  Resources rest = view.room;
+  rest -= needs_of(job.spec);
+  double out = 0;
+  for (const GpuNeed& gpu : gpu_needs_) {
+    if (!gpu.allowed[view.pool]) continue;
+    const double blocked = static_cast<double>(view.room.times(gpu.need)) - rest.times(gpu.need);
+    out = std::max(out, blocked * gpu.need.gpus / all.gpus);
+  }
+  return out;
+}
+
+Seconds CycleView::image_wait(const Job& job, MachineView& view) const {
+  if (view.machine->images.contains(job.spec.image)) return 0;
+  if (!view.fetching) {
+    view.fetching.emplace();
+    for (const auto& id : view.machine->tasks) {
+      const Job* other = ledger_.job(id.job);
+      if (other == nullptr || view.machine->images.contains(other->spec.image)) continue;
+      (*view.fetching)[other->spec.image] = other->spec.image_gb;
+    }
+  }
+  const double rate = pool_of(view).type->fetch_gb_per_s;
+  if (rate <= 0) return 0;
+  double gb = view.fetching->contains(job.spec.image) ? 0 : job.spec.image_gb;
+  for (const auto& [image, size] : *view.fetching) gb += size;
+  return gb / rate;
+}
+
+double CycleView::lost_fits(const ClassReserve& reserve, const Job& job, const MachineView& view) {
+  const Resources need = needs_of(*reserve.spec);
+  Resources rest = view.room;
+  rest -= needs_of(job.spec);
+  return static_cast<double>(view.room.times(need)) - rest.times(need);
+}
+
+}  // namespace larkroad::coordination
--- a/src/coordination/fleet.cpp
+++ b/src/coordination/fleet.cpp
@@ -31,6 +31,13 @@
   bool full = false;                 // no waiting task fits any more
 };
 
+// A market that has not just refused a rental.
+struct OpenMarket {
+  const MachineType* type;
+  Market market;
+  int rented;  // in this round
+};
+
 double hourly(const MachineType& type, bool spot) { return spot ? type.spot_price : type.price; }
 
 class Round {
@@ -51,6 +58,14 @@
       if (a.wanted != b.wanted) return a.wanted;
       return hourly(*a.type, a.spot) < hourly(*b.type, b.spot);
     });
+    for (const auto& type : ledger.types()) {
+      for (const auto& zone : type.zones) {
+        for (const bool spot : {true, false}) {
+          const Market market{type.name, zone, spot};
+          if (refusals.open(market, now)) open_markets_.push_back({&type, market, 0});
+        }
+      }
+    }
     for (const auto& [market, count] : pending) {
       const MachineType* type = ledger.type(market.type);
       for (int i = 0; type != nullptr && i < count; ++i) {
@@ -75,8 +90,8 @@
     for (const auto& f : forecasts) {
       cover(*f.spec, static_cast<std::uint32_t>(std::ceil(f.missing())), {});
     }
-    for (const auto& [market, count] : rent_) {
-      if (count > 0) out.rent.push_back({market, count});
+    for (const OpenMarket& option : open_markets_) {
+      if (option.rented > 0) out.rent.push_back({option.market, option.rented});
     }
     give_back(out);
     return out;
@@ -182,28 +197,23 @@
     }
     while (count > 0) {
       // The market with the lowest price for each task that it takes.
-      const MachineType* best = nullptr;
-      Market market;
+      OpenMarket* best = nullptr;
       double best_price = 0;
-      for (const auto& type : ledger_.types()) {
-        const double price_part = std::min<double>(count, capacity_of(type).times(need));
-        for (const auto& zone : type.zones) {
-          for (const bool spot : {true, false}) {
-            if (!allows(spec, type, zone, spot) || zone_left(zone) == 0) continue;
-            const double price = hourly(type, spot) / price_part;
-            if (!refusals_.open({type.name, zone, spot}, now_)) continue;
-            if (rent_[{type.name, zone, spot}] >= protocol::kMostRented) continue;
-            if (best == nullptr || price < best_price) {
-              best = &type;
-              best_price = price;
-              market = {type.name, zone, spot};
-            }
-          }
+      for (OpenMarket& option : open_markets_) {
+        const auto& [type, market, rented] = option;
+        if (rented >= protocol::kMostRented || zone_left(market.zone) == 0) continue;
+        if (!allows(spec, *type, market.zone, market.spot)) continue;
+        const double fits = std::min<double>(count, capacity_of(*type).times(need));
+        const double price = hourly(*type, market.spot) / fits;
+        if (best == nullptr || price < best_price) {
+          best = &option;
+          best_price = price;
         }
       }
       if (best == nullptr) return;
-      ++rent_[market];
-      spaces_.push_back({best, market.zone, market.spot, capacity_of(*best)});
+      ++best->rented;
+      const Market& market = best->market;
+      spaces_.push_back({best->type, market.zone, market.spot, capacity_of(*best->type)});
       take(spaces_.back());
     }
   }
@@ -240,7 +250,7 @@
   Seconds now_;
   std::vector<Space> spaces_;
   std::map<std::string, Resources> taken_;
-  std::map<Market, int> rent_;
+  std::vector<OpenMarket> open_markets_;
   std::optional<Resources> least_;
   std::map<std::string, double> given_;  // tasks of gangs bound to one zone, by zone
 };
--- /dev/null
+++ b/src/coordination/gang_holds.cpp
@@ -0,0 +1,35 @@
+#include "coordination/gang_holds.hpp"
+
+namespace larkroad::coordination {
+
+void GangHolds::reserve(const std::string& job, const Resources& each, const std::string& machine,
+                        std::uint32_t count, Seconds expires) {
+  Hold& hold = holds_[job];
+  if (hold.tasks.empty()) {
+    hold.each = each;
+    hold.expires = expires;
+  }
+  hold.tasks[machine] += count;
+}
+
+void GangHolds::release(const std::string& job) { holds_.erase(job); }
+
+std::vector<std::string> GangHolds::expire(Seconds now) {
+  std::vector<std::string> out;
+  for (auto it = holds_.begin(); it != holds_.end();) {
+    if (now >= it->second.expires) {
+      out.push_back(it->first);
+      it = holds_.erase(it);
+    } else {
+      ++it;
+    }
+  }
+  return out;
+}
+
+const GangHolds::Hold* GangHolds::find(const std::string& job) const {
+  const auto it = holds_.find(job);
+  return it == holds_.end() ? nullptr : &it->second;
+}
+
+}  // namespace larkroad::coordination
--- a/src/coordination/leader.hpp
+++ b/src/coordination/leader.hpp
@@ -138,7 +138,7 @@
   std::uint64_t first_token_ = 0;  // of this leadership, before it was ever raised
   Seconds ready_at_ = 0;
   Ledger ledger_;
-  Holds holds_;
+  GangHolds holds_;
   Refusals refusals_;
   Homes homes_;
   std::uint64_t watched_to_ = 0;
--- a/src/coordination/ledger.cpp
+++ b/src/coordination/ledger.cpp
@@ -218,10 +218,12 @@
   p.machine = machine.name;
   p.session = machine.session;
   p.placed_at = now;
+  job.last_placed_at = now;
   if (job.returned.erase(task) == 0 && task == job.next_fresh) ++job.next_fresh;
   Chunk& chunk = job.chunks[job.chunk_of(task)];
   chunk.attempt = std::max(chunk.attempt, attempt);
   machine.used += needs_of(job.spec);
+  machine.used_by_priority[static_cast<size_t>(job.spec.priority)] += needs_of(job.spec);
   machine.tasks.insert({job.id(), task});
   used_[job.spec.team] += needs_of(job.spec);
   return job.live[task] = std::move(p);
@@ -232,9 +234,11 @@
   if (it == job.live.end()) return;
   if (Machine* m = find_machine(it->second.machine)) {
     m->used -= needs_of(job.spec);
+    m->used_by_priority[static_cast<size_t>(job.spec.priority)] -= needs_of(job.spec);
     m->tasks.erase({job.id(), task});
     if (m->tasks.empty()) {
       m->used = {};
+      m->used_by_priority = {};
       m->idle_since = now;
     }
   }
--- a/src/coordination/ledger.hpp
+++ b/src/coordination/ledger.hpp
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <algorithm>
+#include <array>
 #include <cstdint>
 #include <map>
 #include <memory>
@@ -41,6 +42,10 @@
 };
 // The least of each resource by itself.
 Resources least_of(const Resources& a, const Resources& b);
+// One amount for each priority, the most important first.
+inline constexpr size_t kPriorities = static_cast<size_t>(protocol::Priority::low) + 1;
+using ResourcesByPriority = std::array<Resources, kPriorities>;
+
 Resources needs_of(const JobSpec& spec);
 Resources capacity_of(const MachineType& type);
 
@@ -104,6 +109,7 @@
 
   Seconds retry_at = 0;  // not placed before this
   int failures = 0;      // tasks that exited with an error, since the last success
+  Seconds last_placed_at = -1;  // of any of its tasks; see SchedulingCycle
   bool seen_running = false;
   bool risen = false;  // was placed as urgent work because it had waited long; see triage
 
@@ -162,6 +168,7 @@
   Seconds idle_since = 0;
   Resources capacity;
   Resources used;
+  ResourcesByPriority used_by_priority{};
   std::set<TaskId> tasks;
   std::map<std::pair<TaskId, std::uint64_t>, Doubt> doubts;  // by task and attempt
   // Launches that this leader sent straight to the machine, and under which token. A late copy of
--- a/src/coordination/triage.cpp
+++ b/src/coordination/triage.cpp
@@ -1,7 +1,10 @@
 #include "coordination/triage.hpp"
 
 #include <algorithm>
+#include <array>
+#include <cmath>
 #include <map>
+#include <string_view>
 #include <tuple>
 
 namespace larkroad::coordination {
@@ -9,6 +12,8 @@
 
 // More important work of a team is taken to leave the rest at least this part of its room.
 constexpr double kLeastRoom = 0.1;
+// The remaining times of a job's tasks are told apart by this part of its run.
+constexpr size_t kEndSteps = 16;
 // Sums of parts are compared with this much leeway.
 constexpr double kRounding = 1e-9;
 // A job that has not begun after these parts of its time rises, and becomes urgent. Its time is the
@@ -38,7 +43,7 @@
   bool spot = false;
   double machines = 0;
   Resources all;
-  std::map<protocol::Priority, Resources> used;
+  ResourcesByPriority used{};
 };
 
 // What the fleet can run at once, as far as work of a priority finds it.
@@ -54,9 +59,8 @@
       Pool& pool = pools_[at->second];
       pool.machines += 1;
       pool.all += machine.capacity;
-      for (const auto& id : machine.tasks) {
-        if (const Job* job = ledger.job(id.job))
-          pool.used[job->spec.priority] += needs_of(job->spec);
+      for (size_t i = 0; i < machine.used_by_priority.size(); ++i) {
+        pool.used[i] += machine.used_by_priority[i];
       }
     }
   }
@@ -71,9 +75,7 @@
       if (!allows(spec, *pool.type, pool.zone, pool.spot)) continue;
       const double whole = pool.machines * capacity_of(*pool.type).times(need);
       Resources room = pool.all;
-      for (const auto& [priority, used] : pool.used) {
-        if (priority < spec.priority) room -= used;
-      }
+      for (size_t i = 0; i < static_cast<size_t>(spec.priority); ++i) room -= pool.used[i];
       all += whole;
       left += std::min<double>(whole, room.times(need));
     }
@@ -157,21 +159,72 @@
   std::map<std::string, double> promised_of_limit;
 };
 
+// Adds the job's live tasks to the room that they take. Tasks that end at about the same time are
+// taken together: a round then costs by jobs, not by the thousands of tasks of a large array.
+void add_live_tasks(const Job& job, Seconds now, Seconds running, Seconds run, double of_fleet,
+                    double of_limit, std::map<protocol::Priority, Shared>& shared) {
+  if (job.live.empty()) return;
+  std::array<double, kEndSteps + 1> ends{};
+  for (const auto& [task, p] : job.live) {
+    const Seconds left =
+        p.running_since < 0 ? run : std::max(running - (now - p.running_since), running / 4);
+    const double step = run > 0 ? std::clamp(left / run, 0.0, 1.0) * kEndSteps : 0;
+    ends[static_cast<size_t>(std::lround(step))] += 1;
+  }
+  const auto lowest = static_cast<int>(protocol::Priority::low);
+  for (size_t step = 0; step < ends.size(); ++step) {
+    if (ends[step] <= 0) continue;
+    const Seconds left = run * static_cast<double>(step) / kEndSteps;
+    shared[job.spec.priority].fleet.add(of_fleet * ends[step], left, run);
+    // A team's limit is shared with its more important work.
+    for (int rank = static_cast<int>(job.spec.priority); rank <= lowest; ++rank) {
+      shared[static_cast<protocol::Priority>(rank)].limits[job.spec.team].add(of_limit * ends[step],
+                                                                              left, run);
+    }
+  }
+}
+
+// The jobs kept in time so far, by how much they take of the fleet and of their team's limit.
+class Kept {
+ public:
+  void insert(Candidate* c) {
+    by_size_.insert(entry(c->size, c));
+    by_limit_[c->job->spec.team].insert(entry(c->size_of_limit, c));
+  }
+  void erase(Candidate* c) {
+    by_size_.erase(entry(c->size, c));
+    by_limit_[c->job->spec.team].erase(entry(c->size_of_limit, c));
+  }
+  Candidate* largest() const { return std::get<Candidate*>(*by_size_.rbegin()); }
+  Candidate* largest_of(const std::string& team) const {
+    return std::get<Candidate*>(*by_limit_.at(team).rbegin());
+  }
+  template <typename Fn>
+  void for_each(Fn fn) const {
+    for (const auto& kept : by_size_) fn(std::get<Candidate*>(kept));
+  }
+
+ private:
+  using Entry = std::tuple<double, std::string_view, Candidate*>;
+  static Entry entry(double weight, Candidate* c) { return {weight, c->job->id(), c}; }
+  std::set<Entry> by_size_;
+  std::map<std::string, std::set<Entry>> by_limit_;
+};
+
 // Of the jobs that are to start by their times, keeps as many as can, in the way of Moore and
 // Hodgson: in order of those times, and whenever one would be late, the largest so far is given up.
 // What is given up is left for its next time, or for the end.
 void keep_in_time(std::vector<Candidate*>& jobs, Seconds now, Shared& shared, int rank,
                   std::vector<Candidate*>& given_up) {
-  const auto before = [](double x, const Candidate* a, double y, const Candidate* b) {
+  std::sort(jobs.begin(), jobs.end(), [](const Candidate* a, const Candidate* b) {
+    const Seconds x = a->start_by();
+    const Seconds y = b->start_by();
     return x != y ? x < y : a->job->id() < b->job->id();
-  };
-  std::sort(jobs.begin(), jobs.end(), [&](const Candidate* a, const Candidate* b) {
-    return before(a->start_by(), a, b->start_by(), b);
   });
-  std::vector<Candidate*> kept;
+  Kept kept;
   for (Candidate* c : jobs) {
     const std::string& team = c->job->spec.team;
-    kept.push_back(c);
+    kept.insert(c);
     shared.promised += c->size;
     double& of_limit = shared.promised_of_limit[team];
     of_limit += c->size_of_limit;
@@ -179,22 +232,29 @@
     const bool limit_full = of_limit > shared.limits[team].within(time) + kRounding;
     if (!limit_full && shared.promised <= shared.fleet.within(time) + kRounding) continue;
     // Where the team's limit is short, only its own jobs can make way.
-    const auto weight = [&](const Candidate* x) {
-      if (limit_full && x->job->spec.team != team) return -1.0;
-      return limit_full ? x->size_of_limit : x->size;
-    };
-    const auto largest = std::max_element(
-        kept.begin(), kept.end(),
-        [&](const Candidate* a, const Candidate* b) { return before(weight(a), a, weight(b), b); });
-    shared.promised -= (*largest)->size;
-    shared.promised_of_limit[(*largest)->job->spec.team] -= (*largest)->size_of_limit;
-    given_up.push_back(*largest);
+    Candidate* largest = limit_full ? kept.largest_of(team) : kept.largest();
+    shared.promised -= largest->size;
+    shared.promised_of_limit[largest->job->spec.team] -= largest->size_of_limit;
+    given_up.push_back(largest);
     kept.erase(largest);
   }
-  for (Candidate* c : kept) {
+  kept.for_each([rank](Candidate* c) {
     c->rank = rank;
     c->sort_time = c->due[c->stage];
-  }
+  });
+}
+
+// What comes first: priority, those with a guarantee before guests, rank, within the guarantee
+// before beyond it, time.
+using OrderKey = std::tuple<protocol::Priority, bool, int, bool, Seconds>;
+
+OrderKey order_key(const Candidate& c, bool guest, bool guaranteed) {
+  const Job& job = *c.job;
+  if (c.rise == Rise::none) return {job.spec.priority, guest, c.rank, !guaranteed, c.sort_time};
+  const auto priority = c.rise == Rise::urgent
+                            ? std::min(job.spec.priority, protocol::Priority::high)
+                            : job.spec.priority;
+  return {priority, false, 0, false, job.submitted};
 }
 
 }  // namespace
@@ -285,17 +345,7 @@
     // Before any machine is known the team's limit alone tells.
     const double of_limit = capacity.part_of_limit(job->spec);
     const double of_fleet = capacity.known() ? capacity.part_of_fleet(job->spec) : of_limit;
-    for (const auto& [task, p] : job->live) {
-      const Seconds left =
-          p.running_since < 0 ? run : std::max(running - (now - p.running_since), running / 4);
-      shared[job->spec.priority].fleet.add(of_fleet, left, run);
-      // A team's limit is shared with its more important work.
-      for (int rank = static_cast<int>(job->spec.priority);
-           rank <= static_cast<int>(protocol::Priority::low); ++rank) {
-        shared[static_cast<protocol::Priority>(rank)].limits[job->spec.team].add(of_limit, left,
-                                                                                 run);
-      }
-    }
+    add_live_tasks(*job, now, running, run, of_fleet, of_limit, shared);
     if (!waits) continue;
     auto& [sum, count] = runs[job->spec.priority];
     sum += run * job->waiting();
@@ -336,28 +386,18 @@
       rest = std::move(given_up);
     }
   }
-  std::map<std::string, bool> guests;
-  for (const TeamSettings& team : ledger.settings().teams) {
-    guests[team.name] = is_guest(ledger.settings(), team.name);
+  std::vector<std::pair<OrderKey, Job*>> order;
+  order.reserve(all.size());
+  for (const Candidate& c : all) {
+    const bool guest = is_guest(ledger.settings(), c.job->spec.team);
+    order.emplace_back(order_key(c, guest, guaranteed.contains(c.job->id())), c.job);
   }
-  const auto key = [&](const Candidate& c) {
-    const Job& job = *c.job;
-    if (c.rise != Rise::none) {
-      const auto priority = c.rise == Rise::urgent
-                                ? std::min(job.spec.priority, protocol::Priority::high)
-                                : job.spec.priority;
-      return std::make_tuple(priority, false, 0, false, job.submitted);
-    }
-    return std::make_tuple(job.spec.priority, guests[job.spec.team], c.rank, !guaranteed.contains(job.id()), c.sort_time);
-  };
-  std::sort(all.begin(), all.end(), [&](const Candidate& a, const Candidate& b) {
-    const auto ka = key(a);
-    const auto kb = key(b);
-    return ka != kb ? ka < kb : a.job->id() < b.job->id();
+  std::sort(order.begin(), order.end(), [](const auto& a, const auto& b) {
+    return a.first != b.first ? a.first < b.first : a.second->id() < b.second->id();
   });
   std::vector<Job*> out;
-  out.reserve(all.size());
-  for (const Candidate& c : all) out.push_back(c.job);
+  out.reserve(order.size());
+  for (const auto& [key, job] : order) out.push_back(job);
   return out;
 }
 
--- a/tests/planner_test.cpp
+++ b/tests/planner_test.cpp
@@ -42,7 +42,7 @@
 
   Settings settings;
   Ledger ledger;
-  Holds holds;
+  GangHolds holds;
   PlanLimits limits;
 };
 
