Commands gathered by machine, low work deferred by an overloaded leader, the last job gives way first

Cause (inc-3a2a): the leader is behind by a second and more; each victim was told by a call of its own (up to 683 calls a second), and guests' short tasks were started as fast as there was room, so that reports went unanswered and 11605 tasks were killed by their lease. A queued launch is dropped when its task has lost its place meanwhile.

--- a/src/coordination/leader.cpp
+++ b/src/coordination/leader.cpp
@@ -16,6 +16,10 @@
 // A round of planning is followed by a pause of this many times what it took: the process has
 // reports and users to answer, too.
 constexpr double kPlanPause = 3;
+// A leader that is this part of the report interval behind with its work starts no more work of low
+// priority until it has caught up: each task costs it calls, reports and writes, and workers whose
+// reports are not answered in time end all that they run.
+constexpr double kOverloadRatio = 1.0 / 8;
 
 }  // namespace
 
@@ -58,6 +62,10 @@
   plan_armed_ = false;
   plan_from_ = 0;
   dropping_ = false;
+  queued_commands_.clear();
+  sending_armed_ = false;
+  lag_.reset();
+  next_tick_ = kNoLimit;
   fence_wanted_ = false;
   fenced_at_ = begun_at_;
   watched_to_ = 0;
@@ -78,8 +86,10 @@
 }
 
 void Leader::tick() {
-  later(settings_.report_s * kTickRatio, [this] { tick(); });
   const Seconds now = clock_.now();
+  lag_.fired(next_tick_, now);
+  next_tick_ = now + settings_.report_s * kTickRatio;
+  later(settings_.report_s * kTickRatio, [this] { tick(); });
   if (!election_.leads()) return;
   std::vector<std::string> silent;
   for (auto& [name, machine] : ledger_.machines()) {
@@ -132,6 +142,7 @@
   limits.hold_s = settings_.operators.hold_s;
   limits.start_bound_s = settings_.operators.start_bound_s;
   limits.start_at = plan_from_;
+  limits.defers_low = lag_.lag() > settings_.report_s * kOverloadRatio;
   limits.out_of_time = [this, begun] {
     return clock_.now() - begun > settings_.report_s * kTickRatio * kPlanBudgetRatio;
   };
--- a/src/coordination/leader.hpp
+++ b/src/coordination/leader.hpp
@@ -14,6 +14,7 @@
 #include "coordination/fleet.hpp"
 #include "coordination/front.hpp"
 #include "coordination/homes.hpp"
+#include "coordination/lag_meter.hpp"
 #include "coordination/ledger.hpp"
 #include "coordination/planner.hpp"
 #include "protocol/relay.hpp"
@@ -98,7 +99,15 @@
   double grace(const Job& job) const;
   void stop(Job& job, Placement& placement, double grace_s);
   void break_gang(Job& job, const std::string& why);
-  void direct(const std::string& machine, Commands commands);
+  // Commands straight to a worker. Those for one machine that come within a moment go in one call.
+  void queue_commands(const std::string& machine, const Commands& commands);
+  void send_queued_commands();
+  void drop_stale_launches(Machine& machine, Commands& commands);
+  void send_commands(const std::string& machine, const Commands& commands);
+  void commands_answered(const std::string& machine, const Commands& commands,
+                         transport::Outcome outcome, const transport::Response& response);
+  void settle_doubts(Machine& machine, const Commands& commands, transport::Outcome outcome,
+                     int status);
   void launch(Job& job, const std::vector<std::uint32_t>& tasks);
   void inspect(Machine& machine);
   void want_fence(const Doubt& doubt);
@@ -160,6 +169,16 @@
   Seconds plan_next_ = 0;  // no round before this
   bool fence_wanted_ = false;
   Seconds fenced_at_ = 0;
+  // Commands that are about to be sent, by machine, and the session that they are for.
+  struct QueuedCommands {
+    std::uint64_t session = 0;
+    Commands commands;
+  };
+  std::map<std::string, QueuedCommands> queued_commands_;
+  bool sending_armed_ = false;
+  // How late the loop of ticks runs: what the process is behind with its work.
+  LagMeter lag_;
+  Seconds next_tick_ = 0;
   // What the leader did since the last line on the use of the fleet; for that line alone.
   struct Activity {
     int planning_rounds = 0;
--- a/src/coordination/leader_workers.cpp
+++ b/src/coordination/leader_workers.cpp
@@ -14,6 +14,10 @@
 
 // A worker gives up on an answer after 4 s; so does a direct command, in reports.
 constexpr double kDirectRatio = 1.5;
+// Commands for one machine are gathered for this part of the report interval. Each call costs the
+// leader as much as a report, and one job's room is often made by stopping a dozen tasks of a
+// machine.
+constexpr double kGatherRatio = 1.0 / 200;
 // Tasks that fail on a machine, with none that succeeds, before it is put aside.
 constexpr int kMachineFailures = 3;
 // An error or a refusal keeps a job or a machine waiting for this many reports.
@@ -393,7 +397,8 @@
   Machine* machine = ledger_.find_machine(placement.machine);
   if (machine == nullptr || machine->address.empty()) return;
   placement.stop_sent = now;
-  direct(placement.machine, {{Op::kill, {job.id(), placement.task}, placement.attempt, grace_s}});
+  queue_commands(placement.machine,
+                 {{Op::kill, {job.id(), placement.task}, placement.attempt, grace_s}});
 }
 
 // Long enough to save, with a report's worth to spare for a slow machine.
@@ -415,59 +420,122 @@
     machine->launched[{{job.id(), task}, placement.attempt}] = election_.token();
     by_machine[placement.machine].push_back({Op::launch, {job.id(), task}, placement.attempt, 0});
   }
-  for (auto& [machine, commands] : by_machine) direct(machine, std::move(commands));
+  for (const auto& [machine, commands] : by_machine) queue_commands(machine, commands);
 }
 
-void Leader::direct(const std::string& name, Commands commands) {
+void Leader::queue_commands(const std::string& name, const Commands& commands) {
+  const Machine& machine = *ledger_.find_machine(name);
+  QueuedCommands& queued = queued_commands_[name];
+  if (queued.session != machine.session) queued = {machine.session, {}};
+  queued.commands.insert(queued.commands.end(), commands.begin(), commands.end());
+  if (sending_armed_) return;
+  sending_armed_ = true;
+  later(settings_.report_s * kGatherRatio, [this] {
+    sending_armed_ = false;
+    send_queued_commands();
+  });
+}
+
+void Leader::send_queued_commands() {
+  const auto queued = std::move(queued_commands_);
+  queued_commands_.clear();
+  for (const auto& [name, waiting] : queued) {
+    Machine* machine = ledger_.find_machine(name);
+    // What was meant for a session that is over must not reach the next one.
+    if (machine == nullptr || machine->session != waiting.session) continue;
+    Commands commands = waiting.commands;
+    drop_stale_launches(*machine, commands);
+    for (const auto& command : commands) {
+      if (command.op != Op::launch) continue;
+      // It goes under the present token, which may have been raised since it was queued.
+      const auto key = std::make_pair(command.id, command.attempt);
+      machine->doubts[key] = {election_.token(), true};
+      machine->launched[key] = election_.token();
+    }
+    if (!commands.empty()) send_commands(name, commands);
+  }
+}
+
+// Leaves out launches of what has lost its place since they were queued: it may be on its way to
+// another machine. Past its lease the leader starts nothing at all. Neither was sent, so nothing of
+// it is in doubt; a task that still has its place is found absent later and launched by an answer
+// to a report.
+void Leader::drop_stale_launches(Machine& machine, Commands& commands) {
+  const auto stale = [&](const Command& command) {
+    if (command.op != Op::launch) return false;
+    if (!election_.leads()) return true;
+    const Job* job = ledger_.job(command.id.job);
+    if (job == nullptr) return true;
+    const auto it = job->live.find(command.id.task);
+    return it == job->live.end() || it->second.machine != machine.name ||
+           it->second.attempt != command.attempt || it->second.session != machine.session;
+  };
+  for (const auto& command : commands) {
+    if (!stale(command)) continue;
+    machine.doubts.erase({command.id, command.attempt});
+    machine.launched.erase({command.id, command.attempt});
+  }
+  std::erase_if(commands, stale);
+}
+
+void Leader::send_commands(const std::string& name, const Commands& commands) {
   const Machine& machine = *ledger_.find_machine(name);
-  const std::uint64_t token = election_.token();
   ++activity_.direct_calls;
+  transport::Request request{
+      "POST", protocol::kCommandsPath,
+      protocol::encode_commands(election_.token(), machine.session, commands)};
   client_.call(
-      machine.address,
-      {"POST", protocol::kCommandsPath,
-       protocol::encode_commands(token, machine.session, commands)},
-      settings_.report_s * kDirectRatio,
+      machine.address, std::move(request), settings_.report_s * kDirectRatio,
       guarded([this, name, commands](transport::Outcome outcome, transport::Response response) {
-        Machine* machine = ledger_.find_machine(name);
-        if (machine == nullptr) return;
-        const bool answered = outcome == transport::Outcome::answered &&
-                              (response.status == 200 || response.status == 409);
-        for (const auto& command : commands) {
-          if (command.op != Op::launch) continue;
-          const auto doubt = machine->doubts.find({command.id, command.attempt});
-          if (doubt == machine->doubts.end()) continue;
-          if (answered || outcome == transport::Outcome::not_sent ||
-              (outcome == transport::Outcome::answered && response.status == 400)) {
-            machine->doubts.erase(doubt);
-          } else {
-            doubt->second.pending = false;
-          }
-        }
-        if (!answered) {
-          spdlog::debug("machine {} gave no answer to a command", name);
-          if (machine->heard_at > clock_.now() - 2 * settings_.report_s) suspect_deaf(*machine);
-          return;
-        }
-        heard_back(*machine);
-        try {
-          const auto report = protocol::parse_report(response.body);
-          if (report.token > election_.token()) {
-            election_.superseded(report.token);
-            return;
-          }
-          // Commands that follow from this wait for the worker's own report.
-          const Commands more = process(report, From::call);
-          Commands kills;
-          for (const auto& command : more) {
-            if (command.op == Op::kill) kills.push_back(command);
-          }
-          if (!kills.empty() && response.status == 200) direct(name, std::move(kills));
-        } catch (const std::exception& error) {
-          spdlog::error("machine {}: {}", name, error.what());
-        }
+        commands_answered(name, commands, outcome, response);
       }));
 }
 
+void Leader::settle_doubts(Machine& machine, const Commands& commands, transport::Outcome outcome,
+                           int status) {
+  const bool settled = outcome == transport::Outcome::not_sent ||
+                       (outcome == transport::Outcome::answered &&
+                        (status == 200 || status == 409 || status == 400));
+  for (const auto& command : commands) {
+    if (command.op != Op::launch) continue;
+    const auto doubt = machine.doubts.find({command.id, command.attempt});
+    if (doubt == machine.doubts.end()) continue;
+    if (settled) {
+      machine.doubts.erase(doubt);
+    } else {
+      doubt->second.pending = false;
+    }
+  }
+}
+
+void Leader::commands_answered(const std::string& name, const Commands& commands,
+                               transport::Outcome outcome, const transport::Response& response) {
+  Machine* machine = ledger_.find_machine(name);
+  if (machine == nullptr) return;
+  settle_doubts(*machine, commands, outcome, response.status);
+  const bool answered =
+      outcome == transport::Outcome::answered && (response.status == 200 || response.status == 409);
+  if (!answered) {
+    spdlog::debug("machine {} gave no answer to a command", name);
+    if (machine->heard_at > clock_.now() - 2 * settings_.report_s) suspect_deaf(*machine);
+    return;
+  }
+  heard_back(*machine);
+  try {
+    const auto report = protocol::parse_report(response.body);
+    if (report.token > election_.token()) {
+      election_.superseded(report.token);
+      return;
+    }
+    // Commands that follow from this wait for the worker's own report.
+    Commands stops = process(report, From::call);
+    std::erase_if(stops, [](const Command& command) { return command.op != Op::kill; });
+    if (!stops.empty() && response.status == 200) queue_commands(name, stops);
+  } catch (const std::exception& error) {
+    spdlog::error("machine {}: {}", name, error.what());
+  }
+}
+
 void Leader::inspect(Machine& machine) {
   machine.inspected_at = clock_.now();
   client_.call(machine.address, {"GET", protocol::kInspectPath, ""}, settings_.report_s,
--- a/src/coordination/ledger.hpp
+++ b/src/coordination/ledger.hpp
@@ -107,8 +107,8 @@
   bool gang_started = false;
   bool gang_broken = false;
 
-  Seconds retry_at = 0;  // not placed before this
-  int failures = 0;      // tasks that exited with an error, since the last success
+  Seconds retry_at = 0;         // not placed before this
+  int failures = 0;             // tasks that exited with an error, since the last success
   Seconds last_placed_at = -1;  // of any of its tasks; see SchedulingCycle
   bool seen_running = false;
   bool risen = false;  // was placed as urgent work because it had waited long; see triage
--- a/src/coordination/planner.cpp
+++ b/src/coordination/planner.cpp
@@ -45,6 +45,8 @@
  private:
   void schedule(Job& job, Plan& out) {
     const Rise rise = rise_of(view_.ledger(), job, now_, limits_.start_bound_s);
+    const bool low = job.spec.priority == protocol::Priority::low;
+    if (limits_.defers_low && low && rise == Rise::none) return;
     const PlacementPolicy policy = policy_of(job, rise);
     const auto reserved_before =
         policy.ignores_reserves ? protocol::Priority::production : policy.priority;
--- a/src/coordination/planner.hpp
+++ b/src/coordination/planner.hpp
@@ -22,6 +22,8 @@
   Seconds hold_s = 20;
   Seconds start_bound_s = 0;  // 0: none, see order_of_work
   std::function<bool()> out_of_time = [] { return false; };
+  // The caller is overloaded: work of low priority is not placed, unless it has waited for long.
+  bool defers_low = false;
   size_t start_at = 0;  // where in the order of work the last cycle stopped
 };
 
--- a/src/coordination/preemption.cpp
+++ b/src/coordination/preemption.cpp
@@ -127,16 +127,20 @@
   return {&candidate, (save ? spec.save_s : since) * members, save};
 }
 
-// The least important first, and of those the ones that lose the least.
+// The least important first, then those that lose less by a report interval or more, then those of
+// the job that came last: stopping all jobs alike would let none of them end.
 std::vector<Preemptor::Victim> Preemptor::victims_of(const Search& search,
                                                      const std::vector<Candidate*>& from) const {
   std::vector<Victim> out;
   for (Candidate* candidate : from) {
     if (may_stop(search, *candidate)) out.push_back(victim(search, *candidate));
   }
-  const auto key = [](const Victim& v) {
-    return std::make_tuple(-static_cast<int>(v.candidate->owner->standing()), v.loss,
-                           std::cref(v.candidate->owner->id()), v.candidate->placement->task);
+  const Seconds report = view_.ledger().settings().report_s;
+  const auto key = [report](const Victim& v) {
+    const Job& owner = *v.candidate->owner;
+    return std::make_tuple(-static_cast<int>(owner.standing()), std::floor(v.loss / report),
+                           -owner.submitted, v.loss, std::cref(owner.id()),
+                           v.candidate->placement->task);
   };
   std::sort(out.begin(), out.end(),
             [&](const Victim& a, const Victim& b) { return key(a) < key(b); });
