Jobs that fail everywhere, machines that bring no reports, a leader whose watch alone fails; tests

A machine is suspected only when several jobs fail on it, or one that succeeds elsewhere; of an array that fails on three machines in a row one task is tried at growing pauses, and nothing is rented for its pause. A machine that brings no report for half a lease gets no more work.

--- a/src/coordination/cycle_view.cpp
+++ b/src/coordination/cycle_view.cpp
@@ -11,6 +11,9 @@
 
 // The part of all room for a class that may be kept for what may come of it.
 constexpr double kReserveMost = 0.5;
+// A machine that has brought no report for this part of its lease gets no more work, though it may
+// answer calls: answers renew no lease, so all that it runs may end soon.
+constexpr double kReportPatience = 1.0 / 2;
 
 }  // namespace
 
@@ -35,9 +38,10 @@
 void CycleView::add_machines() {
   machines_.reserve(ledger_.machines().size());
   std::map<std::tuple<const MachineType*, std::string, bool>, size_t> pool_of;
+  const Seconds patience = ledger_.settings().lease_s * kReportPatience;
   for (auto& [name, machine] : ledger_.machines()) {
     const MachineType* type = ledger_.type(machine.type);
-    if (type == nullptr || !machine.usable(now_)) continue;
+    if (type == nullptr || !machine.usable(now_, patience)) continue;
     const auto [at, made] = pool_of.try_emplace({type, machine.zone, machine.spot}, pools_.size());
     if (made) pools_.push_back({type, machine.zone, machine.spot, {}, {}});
     machines_.push_back({&machine, at->second, machine.room(), {}, {}});
--- a/src/coordination/election.cpp
+++ b/src/coordination/election.cpp
@@ -14,6 +14,10 @@
 constexpr double kRenewRatio = 1.0 / 4;   // of the leader's lease
 constexpr double kRetryRatio = 1.0 / 16;  // of the leader's lease
 constexpr double kViewRatio = 1.0 / 4;    // of the leader's lease
+// A leader whose watch on the jobs goes unanswered for so many of its leases, while its renewals
+// are answered, gives up; it leaves the election to the others for so many.
+constexpr double kViewPatience = 4;
+constexpr double kViewAbstains = 2;
 // Steady clocks drift apart by 0.05%; twice that, and a step of a timer, is kept as a margin.
 constexpr double kDrift = 0.001;
 constexpr Seconds kTimerStep = 0.02;
@@ -165,6 +169,7 @@
   token_ = mark;
   renewed_at_ = grant_sent_;
   viewed_at_.reset();
+  renewing_since_ = -1;
   leader_ = settings_.member;
   leader_mark_ = std::max(leader_mark_, mark);
   spdlog::info("leads with token {}", token_);
@@ -185,6 +190,7 @@
       return;
     }
     Seconds pause = life_ * kRetryRatio;
+    if (status != Status::ok) renewing_since_ = -1;
     if (status == Status::ok) {
       pause = life_ * kRenewRatio;
       if (holds_lease()) {
@@ -194,6 +200,8 @@
         // its full time again). It acts again once it has seen that the key is still its own.
         confirm();
       }
+      check_view(sent);
+      if (epoch != epoch_) return;
     }
     clock_.after(std::max(0.0, pause - (clock_.now() - sent)), [this, epoch] {
       if (epoch == epoch_) renew();
@@ -201,6 +209,18 @@
   });
 }
 
+// A leader without a fresh view starts nothing, and with its lease renewed nobody could take its
+// place. In an outage renewals go unanswered too, so the time counts from the first that is
+// answered.
+void Election::check_view(Seconds sent) {
+  if (renewing_since_ < 0) renewing_since_ = sent;
+  if (!viewed_at_) return;
+  const Seconds stale_since = std::max(*viewed_at_, renewing_since_);
+  if (sent - stale_since <= life_ * kViewPatience) return;
+  step_down("its watch on the jobs is not answered, though its lease is renewed",
+            life_ * kViewAbstains);
+}
+
 void Election::confirm() {
   if (confirming_) return;
   confirming_ = true;
--- a/src/coordination/election.hpp
+++ b/src/coordination/election.hpp
@@ -62,6 +62,7 @@
   void won(std::uint64_t mark);
   void renew();
   void confirm();
+  void check_view(Seconds sent);
   void lose(const std::string& why);
   void saw(std::uint64_t mark, const storage::Json& data);
   void saw_none();
@@ -76,6 +77,7 @@
   std::uint64_t token_ = 0;
   Seconds renewed_at_ = 0;
   std::optional<Seconds> viewed_at_;  // see view_proved; none: the records are still being read
+  Seconds renewing_since_ = -1;       // the first of the renewals that have all been answered since
   Seconds grant_sent_ = 0;
   Seconds abstains_until_ = -1;
   bool campaigning_ = false;
--- a/src/coordination/fleet.cpp
+++ b/src/coordination/fleet.cpp
@@ -85,7 +85,10 @@
     }
     for (Space& space : spaces_) space.full = !least_ || !space.room.fits(*least_);
     for (Job* job : order_of_work(ledger_, now_, start_bound)) {
-      cover(job->spec, job->waiting(), zones_for(*job));
+      // Nothing is rented for what fails everywhere but for its next try.
+      if (job->fails_everywhere() && now_ < job->retry_at) continue;
+      const bool one_task = job->fails_everywhere() && !job->spec.gang;
+      cover(job->spec, one_task ? 1 : job->waiting(), zones_for(*job));
     }
     for (const auto& f : forecasts) {
       cover(*f.spec, static_cast<std::uint32_t>(std::ceil(f.missing())), {});
--- a/src/coordination/leader.hpp
+++ b/src/coordination/leader.hpp
@@ -95,6 +95,8 @@
   void process_task(Machine& machine, const protocol::TaskReport& task, Commands& commands);
   bool may_forget(Machine& machine, const protocol::TaskReport& task);
   void exited(Machine& machine, Job& job, const protocol::TaskReport& task);
+  void blame(Machine& machine, Job& job);
+  void back_off(Job& job);
   void absent(Machine& machine, Job& job, Placement& placement, From from, Commands& commands);
   double grace(const Job& job) const;
   void stop(Job& job, Placement& placement, double grace_s);
--- a/src/coordination/leader_workers.cpp
+++ b/src/coordination/leader_workers.cpp
@@ -159,6 +159,7 @@
   machine.token_seen = std::max(machine.token_seen, report.token);
   if (machine.token_seen >= first_token_) machine.present = true;
   machine.heard_at = now;
+  if (from == From::worker || machine.reported_at < 0) machine.reported_at = now;
   machine.silent = false;
   machine.address = report.address;
   machine.zone = report.zone;
@@ -297,12 +298,10 @@
   const Seconds now = clock_.now();
   spdlog::info("task {} attempt {} on {} exited: {}{}", task.id.text(), task.attempt, machine.name,
                protocol::cause_name(task.cause), task.saved ? ", saved" : "");
-  const Seconds pause =
-      settings_.report_s *
-      std::min(kPauseReports * (1 << std::min(job.failures, 4)), kLongestPauseReports);
   switch (task.cause) {
     case ExitCause::done:
       machine.failures = 0;
+      machine.failed_jobs.clear();
       if (const auto& p = job.live.at(task.id.task); p.running_since >= 0) {
         ledger_.learn_run(job.spec, now - p.running_since);
       }
@@ -311,22 +310,15 @@
       request_plan();
       return;
     case ExitCause::error:
-      // Mostly the machine is faulty; but a job that fails everywhere is the job's own fault, and
-      // then its later failures say nothing of the machines.
-      if (job.failures < kMachineFailures && ++machine.failures >= kMachineFailures) {
-        spdlog::info("machine {} is put aside: every task fails on it", machine.name);
-        machine.suspect = true;
-      }
-      ++job.failures;
-      job.retry_at = now + pause;
+      blame(machine, job);
+      back_off(job);
       break;
     case ExitCause::full:
       machine.refused_until = now + settings_.report_s * kPauseReports;
       break;
     case ExitCause::busy:
     case ExitCause::unknown:
-      ++job.failures;
-      job.retry_at = now + pause;
+      back_off(job);
       break;
     default:
       break;
@@ -337,6 +329,32 @@
   if (job.spec.gang && job.spec.tasks > 1) break_gang(job, protocol::cause_name(task.cause));
 }
 
+// Mostly the machine is faulty. But a job that fails everywhere is at fault itself, and its
+// failures say nothing of the machines; so a machine is suspected only when several jobs fail on
+// it, or one that succeeds elsewhere.
+void Leader::blame(Machine& machine, Job& job) {
+  if (job.fails_everywhere()) return;
+  job.failed_on.insert(machine.name);
+  if (job.fails_everywhere()) {
+    spdlog::info("job {} fails everywhere: one of its tasks is tried now and then", job.id());
+    return;
+  }
+  ++machine.failures;
+  machine.failed_jobs.insert(job.id());
+  const bool job_succeeds = job.done_count > 0;
+  if (machine.failures < kMachineFailures || machine.suspect) return;
+  if (machine.failed_jobs.size() < 2 && !job_succeeds) return;
+  spdlog::info("machine {} is put aside: every task fails on it", machine.name);
+  machine.suspect = true;
+}
+
+void Leader::back_off(Job& job) {
+  const double reports =
+      std::min(kPauseReports * (1 << std::min(job.failures, 4)), kLongestPauseReports);
+  ++job.failures;
+  job.retry_at = clock_.now() + settings_.report_s * reports;
+}
+
 void Leader::absent(Machine& machine, Job& job, Placement& placement, From from,
                     Commands& commands) {
   const auto key = std::make_pair(TaskId{job.id(), placement.task}, placement.attempt);
--- a/src/coordination/ledger.cpp
+++ b/src/coordination/ledger.cpp
@@ -77,9 +77,9 @@
   return out;
 }
 
-bool Machine::usable(Seconds now) const {
-  return heard && present && deaf_since < 0 && !silent && !returning && !suspect && !taken_at &&
-         now >= refused_until && !address.empty();
+bool Machine::usable(Seconds now, Seconds patience) const {
+  return now - reported_at <= patience && heard && present && deaf_since < 0 && !silent &&
+         !returning && !suspect && !taken_at && now >= refused_until && !address.empty();
 }
 
 void Machine::touch_image(const std::string& image, double gb, double cache_gb, Seconds now) {
@@ -268,6 +268,7 @@
   // lag by 3 s; the job's last completion is not held up by this.
   job.chunks[job.chunk_of(task)].write(now + settings_.report_s * kGatherRatio);
   job.failures = 0;
+  job.failed_on.clear();
 }
 
 Resources Ledger::used_by(const std::string& team) const {
--- a/src/coordination/ledger.hpp
+++ b/src/coordination/ledger.hpp
@@ -84,6 +84,9 @@
   }
 };
 
+// A job whose tasks fail on so many machines in a row, with none that succeeds, is itself at fault.
+inline constexpr size_t kFailsEverywhere = 3;
+
 struct Job {
   JobSpec spec;
   std::uint64_t mark = 0;
@@ -107,13 +110,17 @@
   bool gang_started = false;
   bool gang_broken = false;
 
-  Seconds retry_at = 0;         // not placed before this
-  int failures = 0;             // tasks that exited with an error, since the last success
+  Seconds retry_at = 0;  // not placed before this
+  // Since a task of it last succeeded: failures in a row, and the machines that they were on.
+  int failures = 0;
+  std::set<std::string> failed_on;
   Seconds last_placed_at = -1;  // of any of its tasks; see SchedulingCycle
   bool seen_running = false;
   bool risen = false;  // was placed as urgent work because it had waited long; see triage
 
   const std::string& id() const { return spec.id; }
+  // It fails wherever it runs, as one that was submitted with a mistake does.
+  bool fails_everywhere() const { return failed_on.size() >= kFailsEverywhere; }
   // For the choice of what is stopped for others: what has risen would else be stopped at once for
   // the very work that it was placed before, again and again.
   protocol::Priority standing() const {
@@ -152,7 +159,8 @@
   std::uint64_t tick = 0;
   std::uint64_t token_seen = 0;
   Seconds rented_at = 0;
-  Seconds heard_at = -1;     // the newest report
+  Seconds heard_at = -1;     // the newest report, brought by the worker or as an answer to a call
+  Seconds reported_at = -1;  // the newest that the worker brought; at first when it was first heard
   Seconds answered_at = -1;  // the last 200 that any leader may have given it
   Seconds listed_at = -1;
   Seconds there_at = -1;  // it was there by then: rented, reporting, or in an earlier leader's
@@ -163,7 +171,9 @@
   bool returning = false;
   int kept = 0;          // exited tasks that it may not forget yet, as of its last report
   bool suspect = false;  // every task fails on it
+  // Since a task last succeeded on it: failures of jobs that are not at fault, and of which jobs.
   int failures = 0;
+  std::set<std::string> failed_jobs;
   Seconds refused_until = 0;  // it said `full`: its room is not what it seems
   Seconds idle_since = 0;
   Resources capacity;
@@ -179,7 +189,8 @@
   protocol::Report relayed;  // the last one in whole that came by way of a relay
 
   Resources room() const;
-  bool usable(Seconds now) const;
+  // Whether work may be placed there. `patience`: how long it may be without bringing a report.
+  bool usable(Seconds now, Seconds patience) const;
   void touch_image(const std::string& image, double gb, double cache_gb, Seconds now);
 };
 
--- a/src/coordination/placement.cpp
+++ b/src/coordination/placement.cpp
@@ -10,6 +10,8 @@
 constexpr double kDisplacedReports = 1;
 // What it costs to block all GPUs of a machine, in reports.
 constexpr double kBlockedReports = 4;
+// What it costs to go back to a machine on which the job has failed, in reports.
+constexpr double kFailedReports = 16;
 // The cost of a machine that can't take the task.
 constexpr double kImpossible = -1;
 
@@ -111,6 +113,8 @@
   if (job.spec.gpus == 0 && pool.type->gpus > 0) {
     out += report * (1 + kBlockedReports * view_.blocked_gpus(job, machine));
   }
+  // Another machine tells whether the job or the machine is at fault.
+  if (job.failed_on.contains(machine.machine->name)) out += report * kFailedReports;
   // Spot machines first: what may not use them has only the others.
   if (job.spec.spot && !pool.spot) out += report;
   // Best fit: the less room remains, the better the rest of the fleet can take large tasks.
--- a/src/coordination/planner.cpp
+++ b/src/coordination/planner.cpp
@@ -97,8 +97,9 @@
   void place_array(Job& job, std::uint32_t allowed, Rise rise, const PlacementPolicy& policy,
                    Assignment& out) {
     // What rises does so to begin: one task of an array will do, and the rest of it keeps its
-    // place.
-    const auto tasks = waiting_tasks(job, rise != Rise::none ? 1 : allowed);
+    // place. Of one that fails everywhere one task tells whether that is still so.
+    const bool one_task = rise != Rise::none || job.fails_everywhere();
+    const auto tasks = waiting_tasks(job, one_task ? 1 : allowed);
     const Choice choice = chooser_.choose(job, tasks, policy);
     if (choice.size() < tasks.size()) no_room_for(job, policy);
     assign(choice, out);
--- a/tests/planner_test.cpp
+++ b/tests/planner_test.cpp
@@ -224,6 +224,8 @@
       {"to be taken", [](Machine& m) { m.taken_at = 105; }},
       {"fails every task", [](Machine& m) { m.suspect = true; }},
       {"said it was full", [](Machine& m) { m.refused_until = 101; }},
+      // It answers calls, but its own reports have stopped for more than half a lease of 12 s.
+      {"brings no reports", [](Machine& m) { m.reported_at = 93.9; }},
   };
   for (const auto& c : cases) {
     ledger.clear();
@@ -231,6 +233,10 @@
     testing::add(ledger, testing::spec("job-1"));
     EXPECT_TRUE(round().assignments.empty()) << c.what;
   }
+  ledger.clear();
+  testing::up(ledger, "i-1", "small").reported_at = 94.1;
+  testing::add(ledger, testing::spec("job-1"));
+  EXPECT_EQ(placed(round(), "job-1"), 1u) << "a report that is late for a moment";
 }
 
 TEST_F(Planner, OneZoneAndSpread) {
@@ -447,6 +453,147 @@
   }
 }
 
+// Work within its team's guarantee does not wait for what other teams run beyond theirs. Seen in an
+// incident: guests held the processors of GPU machines, and guaranteed work waited beside the GPUs.
+TEST_F(Planner, GuaranteedWorkStopsWhatOthersRunBeyondTheirs) {
+  using protocol::Priority;
+  // "green" is a team of guests: nothing is guaranteed to it.
+  settings.teams.push_back({"green", 0, kNoLimit, 0, kNoLimit});
+  const struct {
+    const char* what;
+    const char* owner;
+    std::uint32_t owner_tasks;  // of 4 CPUs each; 16 are guaranteed to red and to blue
+    Priority owner_priority;
+    std::uint32_t wanting_tasks;
+    Priority wanting_priority;
+    bool stops;
+  } cases[] = {
+      {"guests, lower", "green", 2, Priority::low, 1, Priority::normal, true},
+      {"guests, equal", "green", 2, Priority::low, 1, Priority::low, true},
+      {"guests, higher: they would stop it in turn", "green", 2, Priority::normal, 1, Priority::low,
+       false},
+      {"another team beyond its guarantee, lower", "blue", 5, Priority::low, 1, Priority::normal,
+       true},
+      {"the same, equal: it might take the room first", "blue", 5, Priority::normal, 1,
+       Priority::normal, false},
+      {"another team within its guarantee", "blue", 2, Priority::low, 1, Priority::normal, false},
+      {"the team's own work", "red", 5, Priority::low, 1, Priority::normal, false},
+      {"not within the guarantee itself", "green", 2, Priority::low, 5, Priority::normal, false},
+  };
+  for (const auto& c : cases) {
+    ledger.clear();
+    for (std::uint32_t i = 0; i < c.owner_tasks; ++i) {
+      testing::up(ledger, "i-" + std::to_string(i), "small");
+    }
+    auto held = testing::spec("job-1", c.owner_tasks, 4);
+    held.team = c.owner;
+    held.priority = c.owner_priority;
+    Job& owner = testing::add(ledger, held, 99);
+    ASSERT_EQ(placed(carried_out(), "job-1"), c.owner_tasks) << c.what;
+    runs(owner, [](std::uint32_t) { return Seconds(95); });
+    auto wanting = testing::spec("job-2", c.wanting_tasks, 4);
+    wanting.priority = c.wanting_priority;
+    testing::add(ledger, wanting, 100);
+    EXPECT_EQ(!round(100).preemptions.empty(), c.stops) << c.what;
+  }
+}
+
+// All jobs alike lost tasks to more important work, so that none of them ended.
+TEST_F(Planner, OfJobsAlikeTheLastGivesWay) {
+  testing::up(ledger, "i-1", "large");
+  for (int i = 0; i < 4; ++i) {
+    auto lower = testing::spec("job-" + std::to_string(i), 2, 2);
+    lower.priority = protocol::Priority::low;
+    testing::add(ledger, lower, 10 + (i * 7) % 4);  // the last to come is job-1
+  }
+  carried_out();
+  // They lose different amounts, though none by a report interval more than another.
+  for (int i = 0; i < 4; ++i) {
+    runs(*ledger.job("job-" + std::to_string(i)), [](std::uint32_t task) { return 99.9 - task; });
+  }
+  auto urgent = testing::spec("job-9", 1, 3);
+  urgent.team = "blue";
+  urgent.priority = protocol::Priority::high;
+  testing::add(ledger, urgent, 20);
+  const Plan out = round();
+  ASSERT_EQ(out.preemptions.size(), 2u);
+  for (const auto& victim : out.preemptions) EXPECT_EQ(victim.job, "job-1");
+}
+
+// Tasks of the first zone were stopped though the gang then went to the second.
+TEST_F(Planner, NothingIsStoppedInAZoneThatDoesNotTakeTheGang) {
+  for (int i = 0; i < 3; ++i) {
+    testing::up(ledger, "i-" + std::to_string(i), "small", i == 0 ? "east" : "west");
+  }
+  auto lower = testing::spec("job-1", 3, 4);
+  lower.priority = protocol::Priority::low;
+  Job& running = testing::add(ledger, lower);
+  ASSERT_EQ(placed(carried_out(), "job-1"), 3u);
+  runs(running, [](std::uint32_t) { return Seconds(90); });
+  auto gang = testing::spec("job-2", 2, 4);
+  gang.gang = gang.one_zone = true;
+  gang.team = "blue";
+  gang.priority = protocol::Priority::high;
+  testing::add(ledger, gang, 1);
+  const Plan out = round();
+  ASSERT_EQ(out.preemptions.size(), 2u);
+  for (const auto& victim : out.preemptions) {
+    EXPECT_EQ(ledger.find_machine(running.live.at(victim.task).machine)->zone, "west");
+  }
+}
+
+// Room that is kept for what may come of an urgent class is kept from other work for two leases of
+// 12 s at most: low work waited for minutes beside idle machines.
+TEST_F(Planner, WorkDoesNotWaitForLongBesideRoomThatIsKept) {
+  settings.objectives = {{"wait", "short", 1, 0.9, 1}};
+  testing::up(ledger, "i-1", "small");
+  for (int i = 0; i < 40; ++i) {
+    auto arrival = testing::spec("job-" + std::to_string(100 + i), 1, 4);
+    arrival.job_class = "short";
+    arrival.priority = protocol::Priority::high;
+    ledger.learn_arrival(testing::add(ledger, arrival, 60 + i));
+    ledger.remove_job(arrival.id);
+  }
+  auto low = testing::spec("job-1");
+  low.priority = protocol::Priority::low;
+  testing::add(ledger, low, 100);
+  EXPECT_EQ(placed(round(101), "job-1"), 0u);
+  EXPECT_EQ(placed(round(123.9), "job-1"), 0u);
+  EXPECT_EQ(placed(round(124.1), "job-1"), 1u);
+}
+
+// An overloaded leader puts off work of low priority, but not beyond the bound on starts.
+TEST_F(Planner, DefersLowWorkWhileOverloaded) {
+  limits.start_bound_s = 240;
+  limits.defers_low = true;
+  testing::up(ledger, "i-1", "large");
+  auto low = testing::spec("job-1");
+  low.priority = protocol::Priority::low;
+  testing::add(ledger, low, 0);
+  testing::add(ledger, testing::spec("job-2"), 0);
+  EXPECT_EQ(placed(round(10), "job-1"), 0u);
+  EXPECT_EQ(placed(round(10), "job-2"), 1u);
+  EXPECT_EQ(placed(round(190), "job-1"), 1u);
+  limits.defers_low = false;
+  EXPECT_EQ(placed(round(10), "job-1"), 1u);
+}
+
+// A job with a mistake: its tasks take no room but for one try, and go to another machine first.
+TEST_F(Planner, OfAJobThatFailsEverywhereOneTaskIsTried) {
+  testing::up(ledger, "i-1", "large");
+  testing::up(ledger, "i-2", "large");
+  Job& job = testing::add(ledger, testing::spec("job-1", 8, 1));
+  job.failed_on = {"i-1"};
+  const Plan twice = round();
+  ASSERT_EQ(placed(twice, "job-1"), 8u);
+  for (const auto& [task, machine] : twice.assignments[0].tasks) EXPECT_EQ(machine, "i-2");
+  job.failed_on = {"i-1", "i-2", "i-3"};
+  EXPECT_TRUE(job.fails_everywhere());
+  EXPECT_EQ(placed(carried_out(), "job-1"), 1u);
+  ledger.finish(job, 0, 101);  // one succeeds after all
+  EXPECT_EQ(placed(round(), "job-1"), 7u);
+}
+
 // What had risen is not stopped for the work that it was placed before.
 TEST_F(Planner, WhatHasRisenIsNotPushedAside) {
   testing::up(ledger, "i-1", "small");
--- a/tests/support.hpp
+++ b/tests/support.hpp
@@ -116,6 +116,7 @@
   m.spot = spot;
   m.address = "10.0.0.1:1";
   m.rented_at = 0.001;
+  m.reported_at = 1e6;  // later than any time of the tests: it goes on reporting
   ledger.set_type(m, type);
   return m;
 }
