--- a/src/coordination/triage.cpp
+++ b/src/coordination/triage.cpp
@@ -14,6 +14,9 @@
 constexpr double kLeastRoom = 0.1;
 // The remaining times of a job's tasks are told apart by this part of its run.
 constexpr size_t kEndSteps = 16;
+// What has no aim comes after all that can still meet one, and before what can meet none any more.
+constexpr int kNoAimRank = 500;
+constexpr int kLateRank = 1000;
 // Sums of parts are compared with this much leeway.
 constexpr double kRounding = 1e-9;
 // A job that has not begun after these parts of its time rises, and becomes urgent. Its time is the
@@ -31,7 +34,7 @@
   std::vector<Seconds> due;
   size_t stage = 0;       // the due time it is held to at present
   Seconds sort_time = 0;  // orders the jobs of a rank
-  int rank = 0;           // the smaller, the earlier
+  int rank = kNoAimRank;  // the smaller, the earlier
   Rise rise = Rise::none;
   Seconds start_by() const { return due[stage] - run; }
 };
@@ -351,7 +354,7 @@
     sum += run * job->waiting();
     count += job->waiting();
     all.push_back({job.get(), of_fleet * job->waiting(), of_limit * job->waiting(), run,
-                   due_times(ledger, *job), 0, job->submitted, 0,
+                   due_times(ledger, *job), 0, job->submitted, kNoAimRank,
                    rise_of(ledger, *job, now, start_bound)});
     shared[job->spec.priority].limits[job->spec.team];  // there, though nothing of it runs
   }
@@ -377,7 +380,7 @@
       }
       for (Candidate* c : over) {
         // Late whatever is done: the least work first, so that the fewest wait.
-        c->rank = 1000;
+        c->rank = kLateRank;
         c->sort_time = c->size * c->run;
       }
       std::vector<Candidate*> given_up;
--- a/tests/planner_test.cpp
+++ b/tests/planner_test.cpp
@@ -129,6 +129,22 @@
   }
 }
 
+// Long work without an aim came first, so that short work missed the aim that it had.
+TEST_F(Planner, WhatCanMeetAnAimComesBeforeWhatHasNone) {
+  settings.objectives = {{"finished", "aimed", 50, 0.9, 1}};
+  testing::up(ledger, "i-1", "large");
+  auto aimed = testing::spec("job-2");
+  aimed.job_class = "aimed";
+  testing::add(ledger, testing::spec("job-1"), 100);
+  testing::add(ledger, aimed, 120);
+  auto late = testing::spec("job-3");
+  late.job_class = "aimed";
+  testing::add(ledger, late, 10);
+  std::vector<std::string> ids;
+  for (const Job* job : order_of_work(ledger, 130, 0)) ids.push_back(job->id());
+  EXPECT_EQ(ids, (std::vector<std::string>{"job-2", "job-1", "job-3"}));
+}
+
 // A job whose image takes long to arrive must rise earlier to begin within the bound.
 TEST_F(Planner, RisesByTheTimeThatTheImageLeaves) {
   const struct {
