Large transactions keep their place in the queue; the leader has 0.65 of the writes

A call that had waited for two seconds lost its place at the head of the queue when it needed more changes than were left just then, so transactions of eight changes never went beside a backlog of small ones. State.ABacklogDoesNotStarveLargeTransactions fails without the change.

--- a/src/coordination/node.cpp
+++ b/src/coordination/node.cpp
@@ -13,8 +13,10 @@
 // A node cut off from the state service for this part of the workers' lease sends users to the
 // others, if one of them is served. Shorter troubles pass with a few answers of 503.
 constexpr double kUnhealthyRatio = 1.0 / 8;
-// The leader's part of the state service's limits; the other nodes share the rest.
+// The leader's part of the state service's limits; the other nodes share the rest. Placements and
+// completions are many more writes than submissions and cancellations.
 constexpr double kLeaderShare = 0.5;
+constexpr double kLeaderWriteShare = 0.65;
 // What a peer said of itself counts for this many report intervals.
 constexpr double kServesRatio = 1;
 // Users wait 2 s for the answer to a query, of which this node has used up to 1.5 s.
@@ -37,15 +39,11 @@
       catalog_(clock, client, state_, settings),
       election_(clock, state_, settings,
                 {[this] {
-                   if (settings_.peers.empty())
-                     state_.set_share(1);
-                   else
-                     state_.set_share(kLeaderShare);
+                   take_share(true);
                    leader_.begin(spread_);
                  },
                  [this] {
-                   state_.set_share((1 - kLeaderShare) / static_cast<double>(std::max<size_t>(
-                                                             1, settings_.node_count() - 1)));
+                   take_share(false);
                    leader_.end();
                  }}),
       front_(clock, state_, catalog_, settings),
@@ -60,6 +58,17 @@
   catalog_.on_change = [this] { leader_.types_changed(); };
 }
 
+void Node::take_share(bool leads) {
+  if (settings_.peers.empty()) {
+    state_.set_share(1, 1);
+  } else if (leads) {
+    state_.set_share(kLeaderShare, kLeaderWriteShare);
+  } else {
+    const double others = static_cast<double>(settings_.node_count()) - 1;
+    state_.set_share((1 - kLeaderShare) / others, (1 - kLeaderWriteShare) / others);
+  }
+}
+
 void Node::start() {
   election_.start();
   catalog_.start();
--- a/src/coordination/node.hpp
+++ b/src/coordination/node.hpp
@@ -28,6 +28,8 @@
   bool spreads_workers() const { return spread_; }
 
  private:
+  // Takes this node's part of the state service's limits.
+  void take_share(bool leads);
   void checkin(std::string body, transport::Respond respond);
   void serve_report(std::string body, protocol::Report report, transport::Respond respond,
                     Seconds until);
--- a/src/storage/state_client.cpp
+++ b/src/storage/state_client.cpp
@@ -59,12 +59,16 @@
       // Well above the few hundred milliseconds a slow answer takes, well below the lease.
       timeout_(std::clamp(settings.lease_s / 16, 0.5, 2.0)),
       refilled_at_(clock.now()) {
-  set_share(1.0 / static_cast<double>(settings.node_count()));
+  const double equal = 1.0 / static_cast<double>(settings.node_count());
+  set_share(equal, equal);
   tokens_ = rps_ * share_ / 2;
-  write_tokens_ = write_rps_ * share_ / 2;
+  write_tokens_ = write_rps_ * write_share_ / 2;
 }
 
-void StateClient::set_share(double share) { share_ = share * kShareUsed; }
+void StateClient::set_share(double requests, double writes) {
+  share_ = requests * kShareUsed;
+  write_share_ = writes * kShareUsed;
+}
 
 Seconds StateClient::failing_for() const {
   return failing_since_ < 0 ? 0 : std::max(1e-9, clock_.now() - failing_since_);
@@ -91,7 +95,8 @@
   const double passed = now - refilled_at_;
   refilled_at_ = now;
   tokens_ = std::min(tokens_ + passed * rps_ * share_, rps_ * share_);
-  write_tokens_ = std::min(write_tokens_ + passed * write_rps_ * share_, write_rps_ * share_);
+  write_tokens_ =
+      std::min(write_tokens_ + passed * write_rps_ * write_share_, write_rps_ * write_share_);
 }
 
 void StateClient::submit(transport::Request request, Seconds timeout, double changes, Use use,
@@ -122,7 +127,7 @@
     while (!queue.empty()) {
       Call& next = queue.front();
       // A transaction larger than the whole bucket goes once the bucket is full.
-      const double changes = std::min(next.changes, write_rps_ * share_);
+      const double changes = std::min(next.changes, write_rps_ * write_share_);
       short_of_requests = short_of_requests || tokens_ < 1;
       short_of_writes = short_of_writes || (changes > 0 && write_tokens_ < changes);
       if (!short_of_requests && !(changes > 0 && short_of_writes)) {
@@ -133,7 +138,10 @@
         send(std::move(call));
         continue;
       }
-      if (clock_.now() - next.queued_at <= kLongestQueue * 2) break;
+      // Users are told to come back; all other calls keep their place in the queue. When they lost
+      // it, large transactions never had their turn beside a backlog of small ones.
+      const bool somebody_waits = rank.first == Use::user;
+      if (!somebody_waits || clock_.now() - next.queued_at <= kLongestQueue * 2) break;
       auto done = std::move(next.done);
       queue.pop_front();
       clock_.after(0, [done = std::move(done)] { done(Status::unavailable, {}); });
--- a/src/storage/state_client.hpp
+++ b/src/storage/state_client.hpp
@@ -99,8 +99,8 @@
  public:
   StateClient(transport::Clock& clock, transport::Client& client, const Settings& settings);
 
-  // The part of the service's limits this node may use, between 0 and 1.
-  void set_share(double share);
+  // The parts of the service's limits this node may use, between 0 and 1.
+  void set_share(double requests, double writes);
 
   void get(const std::string& key, std::function<void(Status, Entry)> done, Use use = Use::work);
   void list(const std::string& prefix, const std::string& after,
@@ -146,7 +146,8 @@
   std::string endpoint_;
   double rps_;
   double write_rps_;
-  double share_ = 1;
+  double share_ = 1;        // of requests
+  double write_share_ = 1;  // of writes
   Seconds timeout_;
   double tokens_ = 0;
   double write_tokens_ = 0;
--- a/tests/state_client_test.cpp
+++ b/tests/state_client_test.cpp
@@ -124,7 +124,7 @@
 }
 
 TEST_F(State, KeepsItsShareOfTheLimits) {
-  client.set_share(0.5);
+  client.set_share(0.5, 0.5);
   int answered = 0;
   int refused = 0;
   for (int i = 0; i < 500; ++i) {
@@ -139,6 +139,32 @@
   EXPECT_EQ(answered + refused, 500);
 }
 
+// Beside a backlog of small transactions a large one lost its place in the queue again and again:
+// in an incident the records of a large job were held up for five minutes.
+TEST_F(State, ABacklogDoesNotStarveLargeTransactions) {
+  client.set_share(0.2, 0.1);  // some 5 changes and 19 requests a second
+  std::function<void()> small = [&] {
+    Transaction txn;
+    txn.writes.push_back({"small", {{"x", 1}}, std::nullopt});
+    client.commit(txn, [](const CommitReply&) {});
+    clock.after(0.1, small);
+  };
+  small();
+  clock.run(10);
+  Transaction large;
+  for (int i = 0; i < 4; ++i) large.writes.push_back({"large", {{"x", i}}, std::nullopt});
+  std::optional<Seconds> done;
+  client.settle(
+      large, [] { return true; },
+      [&](const CommitReply& reply) {
+        EXPECT_EQ(reply.status, Status::ok);
+        done = clock.now();
+      });
+  clock.run(60);
+  ASSERT_TRUE(done);
+  EXPECT_LT(*done, 30);
+}
+
 TEST_F(State, RenewalsDoNotWaitForTheirTurn) {
   for (int i = 0; i < 200; ++i) client.get("a", [](Status, Entry) {});
   const size_t before = net.sent.size();
