--- a/src/coordination/leader_records.cpp
+++ b/src/coordination/leader_records.cpp
@@ -77,11 +77,13 @@
   }
   if (chunks.empty()) return;
   job.busy = true;
+  const bool low = job.standing() == protocol::Priority::low;
   state_.settle(
       std::move(txn), [this, epoch = epoch_] { return epoch == epoch_; },
       guarded([this, id = job.id(), chunks, recorded, done](const storage::CommitReply& reply) {
         synced(id, chunks, recorded, done, reply);
-      }));
+      }),
+      low ? storage::Use::bulk : storage::Use::work);
 }
 
 void Leader::synced(const std::string& id, const std::vector<std::uint32_t>& chunks,
--- a/src/storage/state_client.hpp
+++ b/src/storage/state_client.hpp
@@ -25,6 +25,7 @@
   lease,  // renewals and watches: never wait
   user,   // somebody is waiting for the answer
   work,   // placements and completions
+  bulk,   // the same of work of low priority, of which there may be more than can be written
   help,   // what only saves time later
 };
 
--- a/tests/state_client_test.cpp
+++ b/tests/state_client_test.cpp
@@ -165,6 +165,28 @@
   EXPECT_LT(*done, 30);
 }
 
+// Records of low work, of which a large array makes more than can be written, delay nobody else's.
+TEST_F(State, OtherRecordsGoBeforeThoseOfLowWork) {
+  client.set_share(0.5, 0.1);
+  std::vector<std::string> order;
+  const auto commit = [&](const std::string& what, Use use) {
+    Transaction txn;
+    txn.writes.push_back({what, {{"x", 1}}, std::nullopt});
+    client.commit(
+        txn, [&order, what](const CommitReply&) { order.push_back(what); }, use);
+  };
+  clock.run(10);
+  for (int i = 0; i < 20; ++i) commit("low", Use::bulk);
+  const size_t before = order.size();
+  ASSERT_LT(before, 20u);
+  commit("work", Use::work);
+  commit("user", Use::user);
+  clock.run(30);
+  ASSERT_EQ(order.size(), 22u);
+  EXPECT_EQ(order[before], "user");
+  EXPECT_EQ(order[before + 1], "work");
+}
+
 TEST_F(State, RenewalsDoNotWaitForTheirTurn) {
   for (int i = 0; i < 200; ++i) client.get("a", [](Status, Entry) {});
   const size_t before = net.sent.size();
