--- a/src/coordination/front.cpp
+++ b/src/coordination/front.cpp
@@ -10,7 +10,6 @@
 
 using protocol::JobState;
 using storage::Status;
-using transport::Response;
 
 // Users give up on an answer after 5 s (2 s for a query) and come back; well before that they are
 // told to.
--- a/src/coordination/leader.hpp
+++ b/src/coordination/leader.hpp
@@ -92,6 +92,11 @@
   // Where a report comes from: brought by its worker, or as the answer to this leader's own call.
   enum class From { worker, call };
   Commands process(const protocol::Report& report, From from);
+  void begin_session(Machine& machine, const protocol::Report& report);
+  void first_heard(Machine& machine, const protocol::Report& report);
+  void update_machine(Machine& machine, const protocol::Report& report, From from);
+  void process_tasks(Machine& machine, const protocol::Report& report, From from,
+                     Commands& commands);
   void process_task(Machine& machine, const protocol::TaskReport& task, Commands& commands);
   bool may_forget(Machine& machine, const protocol::TaskReport& task);
   void exited(Machine& machine, Job& job, const protocol::TaskReport& task);
--- a/src/coordination/leader_workers.cpp
+++ b/src/coordination/leader_workers.cpp
@@ -118,46 +118,67 @@
 }
 
 Leader::Commands Leader::process(const protocol::Report& report, From from) {
-  const Seconds now = clock_.now();
-  Commands commands;
   ++activity_.reports;
   activity_.reported_tasks += report.tasks.size();
-  if (gone_machines_.contains(report.machine)) return commands;
+  if (gone_machines_.contains(report.machine)) return {};
   Machine& machine = ledger_.machine(report.machine);
-  if (!newer(report, machine)) return commands;
+  if (!newer(report, machine)) return {};
   // A session that was taken for over cannot speak again, but for reports that were held up.
-  if (machine.silent && report.session == machine.session) return commands;
-  if (report.session > machine.session) {
+  if (machine.silent && report.session == machine.session) return {};
+  begin_session(machine, report);
+  update_machine(machine, report, from);
+  if (report.notice_s && !machine.taken_at) {
+    drain(machine, *report.notice_s);
+  } else if (!report.notice_s) {
+    machine.taken_at.reset();
+  }
+  Commands commands;
+  process_tasks(machine, report, from, commands);
+  return commands;
+}
+
+// What a new session, or the first word of a machine, tells of its leases.
+void Leader::begin_session(Machine& machine, const protocol::Report& report) {
+  const Seconds now = clock_.now();
+  const bool new_session = report.session > machine.session;
+  if (new_session) {
     // Its lease ran out although its reports came and were answered: the answers don't arrive.
     if (machine.heard && !machine.silent && now - machine.heard_at < settings_.lease_s / 2) {
       suspect_deaf(machine);
     }
     end_sessions(machine, report.session);
   }
-  if (report.session > machine.session || !machine.heard) {
+  if (new_session || !machine.heard) {
     // The lease of a session that nobody has answered counts from when it began, which may be as
     // late as now. Without this a machine heard by `/inspect` only was taken for silent by the
     // bound of the earlier leader's answers, while it held new tasks (the simulated run
     // cut_off_while_the_leader_changes).
     machine.answered_at = std::max(machine.answered_at, now);
   }
-  if (!machine.heard) {
-    // Until it has seen this leader's token, one before that may still answer it. Those that the
-    // records name have this bound from the loading; a machine without tasks is met here first.
-    if (report.token < first_token_) {
-      machine.answered_at = std::max(machine.answered_at, begun_at_ + election_.retention());
-    }
-    machine.heard = true;
-    machine.there_at = std::max(machine.there_at, now);
-    machine.idle_since = now;
-    if (machine.rented_at == 0) machine.rented_at = now;
-    if (const auto it = loaded_images_.find(report.machine); it != loaded_images_.end()) {
-      for (const auto& [image, gb] : it->second) machine.images[image] = {gb, now};
-      loaded_images_.erase(it);
-    }
-    spdlog::info("machine {} ({} in {}{}) is up", report.machine, report.type, report.zone,
-                 report.spot ? ", spot" : "");
-  }
+  if (!machine.heard) first_heard(machine, report);
+}
+
+void Leader::first_heard(Machine& machine, const protocol::Report& report) {
+  const Seconds now = clock_.now();
+  // Until it has seen this leader's token, one before that may still answer it. Those that the
+  // records name have this bound from the loading; a machine without tasks is met here first.
+  if (report.token < first_token_) {
+    machine.answered_at = std::max(machine.answered_at, begun_at_ + election_.retention());
+  }
+  machine.heard = true;
+  machine.there_at = std::max(machine.there_at, now);
+  machine.idle_since = now;
+  if (machine.rented_at == 0) machine.rented_at = now;
+  if (const auto it = loaded_images_.find(report.machine); it != loaded_images_.end()) {
+    for (const auto& [image, gb] : it->second) machine.images[image] = {gb, now};
+    loaded_images_.erase(it);
+  }
+  spdlog::info("machine {} ({} in {}{}) is up", report.machine, report.type, report.zone,
+               report.spot ? ", spot" : "");
+}
+
+void Leader::update_machine(Machine& machine, const protocol::Report& report, From from) {
+  const Seconds now = clock_.now();
   machine.session = report.session;
   machine.tick = report.tick;
   machine.token_seen = std::max(machine.token_seen, report.token);
@@ -171,18 +192,20 @@
   if (machine.type != report.type || machine.capacity.cpus == 0) {
     ledger_.set_type(machine, report.type);
   }
+  // The worker refuses these from now on.
+  std::erase_if(machine.launched,
+                [&](const auto& launch) { return launch.second < machine.token_seen; });
   std::erase_if(machine.doubts, [&](const auto& doubt) {
-    // The worker refuses it from now on, or has done with the answer that it was in.
+    // The same, or it has done with the answer that the launch was in.
     return doubt.second.token < machine.token_seen ||
            (doubt.second.answer_to != 0 && from == From::worker &&
             doubt.second.answer_to < report.tick);
   });
-  if (report.notice_s && !machine.taken_at) {
-    drain(machine, *report.notice_s);
-  } else if (!report.notice_s) {
-    machine.taken_at.reset();
-  }
+}
 
+// The tasks that it reports, and those that it should have and lacks.
+void Leader::process_tasks(Machine& machine, const protocol::Report& report, From from,
+                           Commands& commands) {
   machine.kept = 0;
   std::set<std::pair<TaskId, std::uint64_t>> reported;
   for (const auto& task : report.tasks) {
@@ -201,7 +224,6 @@
     }
     absent(machine, *job, it->second, from, commands);
   }
-  return commands;
 }
 
 void Leader::end_sessions(Machine& machine, std::uint64_t session) {
@@ -334,9 +356,10 @@
 }
 
 // Mostly the machine is faulty. But a job that was submitted with a mistake fails wherever it runs,
-// and its failures say little of the machines. So a machine is suspected when several jobs fail on it
-// with none that succeeds, or a few tasks of one that succeeds elsewhere. Jobs that fail everywhere
-// count for less, though not for nothing: where many machines are faulty, sound jobs seem to be so.
+// and its failures say little of the machines. So a machine is suspected when several jobs fail on
+// it with none that succeeds, or a few tasks of one that succeeds elsewhere. Jobs that fail
+// everywhere count for less, though not for nothing: where many machines are faulty, sound jobs
+// seem to be so.
 void Leader::blame(Machine& machine, Job& job) {
   const bool known = job.fails_everywhere();
   job.failed_on.insert(machine.name);
--- a/src/coordination/node.cpp
+++ b/src/coordination/node.cpp
@@ -169,16 +169,21 @@
                clock_.now() + settings_.report_s * kLoadingRatio);
 }
 
-bool Node::wait_for_loading(Seconds until, std::function<void()> again) {
-  if (!leader_.loading() || clock_.now() >= until) return false;
+bool Node::must_wait_for_loading(Seconds until) const {
+  return leader_.loading() && clock_.now() < until;
+}
+
+void Node::after_loading_pause(std::function<void()> again) {
   clock_.after(settings_.report_s * kLoadingRatio / 20, std::move(again));
-  return true;
 }
 
 void Node::serve_report(std::string body, protocol::Report report, transport::Respond respond,
                         Seconds until) {
   election_.superseded(report.token);
-  if (wait_for_loading(until, [=, this] { serve_report(body, report, respond, until); })) return;
+  if (must_wait_for_loading(until)) {
+    after_loading_pause([=, this] { serve_report(body, report, respond, until); });
+    return;
+  }
   if (election_.may_answer_reports()) {
     respond(leader_.checkin(report));
     // Peers must know at once that workers stay with them from now on, or they would send on to
@@ -225,7 +230,10 @@
 
 void Node::relayed(const protocol::RelayBatch& batch, const transport::Respond& respond,
                    Seconds until) {
-  if (wait_for_loading(until, [=, this] { relayed(batch, respond, until); })) return;
+  if (must_wait_for_loading(until)) {
+    after_loading_pause([=, this] { relayed(batch, respond, until); });
+    return;
+  }
   if (!election_.may_answer_reports()) {
     respond({421, protocol::encode_redirect(election_.leader()), 0});
   } else if (!leader_.is_token(batch.token)) {
--- a/src/coordination/node.hpp
+++ b/src/coordination/node.hpp
@@ -34,9 +34,9 @@
   void serve_report(std::string body, protocol::Report report, transport::Respond respond,
                     Seconds until);
   void relayed(const protocol::RelayBatch& batch, const transport::Respond& respond, Seconds until);
-  // A leader that still reads the records has its workers wait for that a little: true when this
-  // is so, and `again` is called before long.
-  bool wait_for_loading(Seconds until, std::function<void()> again);
+  // A leader that still reads the records has its workers wait for that a little.
+  bool must_wait_for_loading(Seconds until) const;
+  void after_loading_pause(std::function<void()> again);
   void cancelled_elsewhere(const std::string& body, const transport::Respond& respond);
   bool is_peer(const std::string& member) const;
   // A leader that no worker reaches any more, while they reach its peers, makes way.
--- a/src/coordination/preemption.cpp
+++ b/src/coordination/preemption.cpp
@@ -169,9 +169,9 @@
 }
 
 void Preemptor::undo(Changes& changes) {
-  for (auto it = changes.releasing.rbegin(); it != changes.releasing.rend(); ++it) {
-    it->first->releasing = it->second;
-  }
+  // The oldest last: it tells how it was before.
+  std::reverse(changes.releasing.begin(), changes.releasing.end());
+  for (const auto& [machine, before] : changes.releasing) machine->releasing = before;
   for (Candidate* candidate : changes.stopped) candidate->stopped = false;
   releasing_limits_ = std::move(changes.releasing_limits);
 }
--- a/src/transport/http.hpp
+++ b/src/transport/http.hpp
@@ -10,7 +10,7 @@
 namespace larkroad::transport {
 
 // Bodies above this are refused by the server; the protocol's own limit.
-inline constexpr size_t kBodyLimit = 64 * 1024;
+inline constexpr size_t kBodyLimit = size_t{64} * 1024;
 
 struct Request {
   std::string method;
--- a/src/transport/http_client.cpp
+++ b/src/transport/http_client.cpp
@@ -15,7 +15,7 @@
 // A kept connection that nobody used for this long is closed.
 constexpr Seconds kIdleLimit = 30;
 // The largest answer taken: the state service pages at 512 KiB, watches have no limit of their own.
-constexpr size_t kAnswerLimit = 8 * 1024 * 1024;
+constexpr size_t kAnswerLimit = size_t{8} * 1024 * 1024;
 
 }  // namespace
 
--- a/tests/meetings_test.cpp
+++ b/tests/meetings_test.cpp
@@ -43,7 +43,7 @@
   Seconds outage_at;
 };
 
-void PrintTo(const Gap& gap, std::ostream* out) { *out << gap.name; }
+std::ostream& operator<<(std::ostream& out, const Gap& gap) { return out << gap.name; }
 
 const Gap kGaps[] = {
     // The users' day: refused alone, then an outage for all beyond `cancel_s`.
@@ -475,7 +475,7 @@
   const auto kind = [](const Json& txn) -> std::string {
     const Json& first = txn.at("apply").at(0);
     if (first.contains("drop")) return "leftovers";
-    const std::string key = first.at("write");
+    std::string key = first.at("write");
     const Json& data = first.at("data");
     if (key == "leader") return data.contains("raised") ? "raised token" : "leader key";
     if (key.starts_with("d/")) return "end of a job";
--- a/tests/planner_test.cpp
+++ b/tests/planner_test.cpp
@@ -16,7 +16,7 @@
   Plan round(Seconds now = 100) { return plan(ledger, holds, now, limits); }
   // Plans and places, as the leader does.
   Plan carried_out(Seconds now = 100) {
-    const Plan out = round(now);
+    Plan out = round(now);
     for (const auto& assignment : out.assignments) {
       Job& job = *ledger.job(assignment.job);
       for (const auto& [task, machine] : assignment.tasks) {
--- a/tests/sim/scenario.hpp
+++ b/tests/sim/scenario.hpp
@@ -18,7 +18,9 @@
   int random_jobs = 60;
 };
 
-inline void PrintTo(const Scenario& scenario, std::ostream* out) { *out << scenario.name; }
+inline std::ostream& operator<<(std::ostream& out, const Scenario& scenario) {
+  return out << scenario.name;
+}
 
 inline std::string node(size_t i) { return "node-" + std::to_string(i); }
 
--- a/tests/sim/worker.cpp
+++ b/tests/sim/worker.cpp
@@ -12,13 +12,13 @@
 
 }  // namespace
 
-Worker::Worker(World& world, std::string name_, std::string address_, std::string type_,
-               std::string zone_, bool spot_)
-    : name(std::move(name_)),
-      address(std::move(address_)),
-      type(std::move(type_)),
-      zone(std::move(zone_)),
-      spot(spot_),
+Worker::Worker(World& world, std::string its_name, std::string its_address, std::string its_type,
+               std::string its_zone, bool is_spot)
+    : name(std::move(its_name)),
+      address(std::move(its_address)),
+      type(std::move(its_type)),
+      zone(std::move(its_zone)),
+      spot(is_spot),
       world_(world) {}
 
 void Worker::start() {
--- a/tests/sim/world.cpp
+++ b/tests/sim/world.cpp
@@ -577,7 +577,8 @@
 
 void World::cancel_now(int count, Seconds hang) {
   std::vector<std::string> running;
-  for (const auto& [id, spec] : submitted_) {
+  for (const auto& submission : submitted_) {
+    const std::string& id = submission.first;
     if (std::any_of(workers.begin(), workers.end(),
                     [&](const auto& worker) { return !worker->gone && worker->runs(id); })) {
       running.push_back(id);
@@ -597,7 +598,7 @@
 
 namespace {
 
-const char* kRanks[] = {"prod", "urgent", "normal", "best_effort"};
+constexpr const char* kRanks[] = {"prod", "urgent", "normal", "best_effort"};
 
 std::string body_of(const JobSpec& s) {
   Json out{{"ref", s.id},
@@ -747,7 +748,8 @@
 std::string World::unfinished() const {
   std::string out;
   for (const auto& [id, stage] : heard_) {
-    if (stage != "done" && stage != "withdrawn") out += id + " (" + stage + ") ";
+    if (stage != "done" && stage != "withdrawn")
+      out.append(id).append(" (").append(stage).append(") ");
   }
   return out;
 }
--- a/tests/state_client_test.cpp
+++ b/tests/state_client_test.cpp
@@ -233,7 +233,7 @@
 
 // ---------------------------------------------------------------- the shared view of jobs
 
-const char* kListed =
+constexpr const char* kListed =
     R"({"pairs":[{"k":"j/job-1","data":{},"mark":3},{"k":"j/job-2","data":{"cancelled":true},"mark":4}],)"
     R"("more":false,"ledger":5})";
 
