--- a/src/coordination/ledger.cpp
+++ b/src/coordination/cluster_state.cpp
@@ -1,4 +1,4 @@
-#include "coordination/ledger.hpp"
+#include "coordination/cluster_state.hpp"
 
 #include <algorithm>
 #include <cmath>
@@ -8,7 +8,7 @@
 
 // Amounts are decimals: sums of them are compared with this much leeway.
 constexpr double kRounding = 1e-6;
-// How much of a class's picture the latest task makes up.
+// How much of a class's statistics the latest task makes up.
 constexpr double kLearning = 0.1;
 // Arrivals are counted over this many times what a cancellation may take: long against the tasks
 // of today's deployments, short against the day.
@@ -78,8 +78,8 @@
 }
 
 bool Machine::usable(Seconds now, Seconds patience) const {
-  return now - reported_at <= patience && heard && present && deaf_since < 0 && !silent &&
-         !returning && !suspect && !taken_at && now >= refused_until && !address.empty();
+  return now - reported_at <= patience && heard && present && unreachable_since < 0 && !silent &&
+         !returning && !quarantined && !taken_at && now >= refused_until && !address.empty();
 }
 
 void Machine::touch_image(const std::string& image, double gb, double cache_gb, Seconds now) {
@@ -97,13 +97,14 @@
   }
 }
 
-void Ledger::clear() {
+void ClusterState::clear() {
   jobs_.clear();
   machines_.clear();
   used_.clear();
 }
 
-Job& Ledger::add_job(const std::string& id, const storage::JobRecord& record, std::uint64_t mark) {
+Job& ClusterState::add_job(const std::string& id, const storage::JobRecord& record,
+                           std::uint64_t mark) {
   auto job = std::make_unique<Job>();
   job->spec = record.spec;
   job->mark = mark;
@@ -117,20 +118,20 @@
   return *slot;
 }
 
-Job* Ledger::job(const std::string& id) {
+Job* ClusterState::job(const std::string& id) {
   const auto it = jobs_.find(id);
   return it == jobs_.end() ? nullptr : it->second.get();
 }
 
-const Job* Ledger::job(const std::string& id) const {
+const Job* ClusterState::job(const std::string& id) const {
   const auto it = jobs_.find(id);
   return it == jobs_.end() ? nullptr : it->second.get();
 }
 
-void Ledger::remove_job(const std::string& id) { jobs_.erase(id); }
+void ClusterState::remove_job(const std::string& id) { jobs_.erase(id); }
 
-void Ledger::load_chunk(Job& job, std::uint32_t chunk, const storage::ChunkRecord& record,
-                        std::uint64_t mark, std::uint64_t doubt_token, Seconds now) {
+void ClusterState::load_chunk(Job& job, std::uint32_t chunk, const storage::ChunkRecord& record,
+                              std::uint64_t mark, std::uint64_t doubt_token, Seconds now) {
   job.chunks[chunk] = {mark, record.attempt, false, 0};
   const std::uint32_t first = chunk * job.chunk_tasks;
   const std::uint32_t end = std::min(first + job.chunk_tasks, job.spec.tasks);
@@ -146,7 +147,7 @@
     if (placed.task >= end || job.done[placed.task]) continue;
     Machine& m = machine(placed.machine);
     m.session = std::max(m.session, placed.session);
-    m.doubts[{{job.id(), placed.task}, placed.attempt}] = {doubt_token, false};
+    m.uncertain_launches[{{job.id(), placed.task}, placed.attempt}] = {doubt_token, false};
     Placement& p = place(job, placed.task, m, placed.attempt, now);
     p.session = placed.session;
     p.stage = Placement::Stage::recorded;
@@ -167,7 +168,7 @@
   job.next_fresh = std::max(job.next_fresh, end);
 }
 
-storage::ChunkRecord Ledger::chunk_record(const Job& job, std::uint32_t chunk) const {
+storage::ChunkRecord ClusterState::chunk_record(const Job& job, std::uint32_t chunk) const {
   storage::ChunkRecord record;
   const auto it = job.chunks.find(chunk);
   if (it != job.chunks.end()) record.attempt = it->second.attempt;
@@ -187,31 +188,31 @@
   return record;
 }
 
-Machine& Ledger::machine(const std::string& name) {
+Machine& ClusterState::machine(const std::string& name) {
   auto [it, made] = machines_.try_emplace(name);
   if (made) it->second.name = name;
   return it->second;
 }
 
-Machine* Ledger::find_machine(const std::string& name) {
+Machine* ClusterState::find_machine(const std::string& name) {
   const auto it = machines_.find(name);
   return it == machines_.end() ? nullptr : &it->second;
 }
 
-const Machine* Ledger::find_machine(const std::string& name) const {
+const Machine* ClusterState::find_machine(const std::string& name) const {
   const auto it = machines_.find(name);
   return it == machines_.end() ? nullptr : &it->second;
 }
 
-void Ledger::remove_machine(const std::string& name) { machines_.erase(name); }
+void ClusterState::remove_machine(const std::string& name) { machines_.erase(name); }
 
-void Ledger::set_type(Machine& machine, const std::string& name) {
+void ClusterState::set_type(Machine& machine, const std::string& name) {
   machine.type = name;
   if (const MachineType* known = type(name)) machine.capacity = capacity_of(*known);
 }
 
-Placement& Ledger::place(Job& job, std::uint32_t task, Machine& machine, std::uint64_t attempt,
-                         Seconds now) {
+Placement& ClusterState::place(Job& job, std::uint32_t task, Machine& machine,
+                               std::uint64_t attempt, Seconds now) {
   Placement p;
   p.task = task;
   p.attempt = attempt;
@@ -229,7 +230,7 @@
   return job.live[task] = std::move(p);
 }
 
-void Ledger::release(Job& job, std::uint32_t task, Seconds now) {
+void ClusterState::release(Job& job, std::uint32_t task, Seconds now) {
   const auto it = job.live.find(task);
   if (it == job.live.end()) return;
   if (Machine* m = find_machine(it->second.machine)) {
@@ -252,12 +253,12 @@
   }
 }
 
-void Ledger::unplace(Job& job, std::uint32_t task, Seconds now) {
+void ClusterState::unplace(Job& job, std::uint32_t task, Seconds now) {
   release(job, task, now);
   job.returned.insert(task);
 }
 
-void Ledger::finish(Job& job, std::uint32_t task, Seconds now) {
+void ClusterState::finish(Job& job, std::uint32_t task, Seconds now) {
   release(job, task, now);
   job.returned.erase(task);
   if (job.done[task]) return;
@@ -271,56 +272,57 @@
   job.failed_on.clear();
 }
 
-Resources Ledger::used_by(const std::string& team) const {
+Resources ClusterState::used_by(const std::string& team) const {
   const auto it = used_.find(team);
   return it == used_.end() ? Resources{} : it->second;
 }
 
-Seconds Ledger::expected_run(const JobSpec& spec) const {
+Seconds ClusterState::expected_run(const JobSpec& spec) const {
   const auto it = classes_.find(spec.job_class);
   return spec.estimate_s * (it == classes_.end() ? 1 : it->second.run_ratio);
 }
 
-void Ledger::learn_run(const JobSpec& spec, Seconds took) {
-  ClassPicture& picture = classes_[spec.job_class];
-  picture.mean_run =
-      picture.mean_run == 0 ? took : picture.mean_run + (took - picture.mean_run) * kLearning;
+void ClusterState::learn_run(const JobSpec& spec, Seconds took) {
+  ClassStatistics& statistics = classes_[spec.job_class];
+  statistics.mean_run = statistics.mean_run == 0
+                            ? took
+                            : statistics.mean_run + (took - statistics.mean_run) * kLearning;
   if (spec.estimate_s <= 0) return;
   // A task that went on from a checkpoint, or a wild estimate, must not turn the class.
   const double ratio = std::clamp(took / spec.estimate_s, 0.25, 4.0);
-  picture.run_ratio += (ratio - picture.run_ratio) * kLearning;
+  statistics.run_ratio += (ratio - statistics.run_ratio) * kLearning;
 }
 
-Seconds Ledger::memory_s() const { return settings_.cancel_s * kMemoryRatio; }
+Seconds ClusterState::memory_s() const { return settings_.cancel_s * kMemoryRatio; }
 
-void Ledger::learn_arrival(const Job& job) {
-  ClassPicture& picture = classes_[job.spec.job_class];
+void ClusterState::learn_arrival(const Job& job) {
+  ClassStatistics& statistics = classes_[job.spec.job_class];
   // Jobs come in any order when they are read back; an older one counts by its age.
-  const Seconds to = std::max(picture.counted_at, job.submitted);
-  const double fade = std::exp(-(to - picture.counted_at) / memory_s());
+  const Seconds to = std::max(statistics.counted_at, job.submitted);
+  const double fade = std::exp(-(to - statistics.counted_at) / memory_s());
   const double weight = std::exp(-(to - job.submitted) / memory_s());
   const double size = job.spec.tasks;
-  picture.tasks = picture.tasks * fade + size * weight;
-  picture.squares = picture.squares * fade + size * size * weight;
-  for (auto& [team, tasks] : picture.by_team) tasks *= fade;
-  picture.by_team[job.spec.team] += size * weight;
-  if (job.submitted >= picture.counted_at) picture.latest = job.spec;
-  picture.counted_at = to;
+  statistics.tasks = statistics.tasks * fade + size * weight;
+  statistics.squares = statistics.squares * fade + size * size * weight;
+  for (auto& [team, tasks] : statistics.by_team) tasks *= fade;
+  statistics.by_team[job.spec.team] += size * weight;
+  if (job.submitted >= statistics.counted_at) statistics.latest = job.spec;
+  statistics.counted_at = to;
 }
 
-double Ledger::arrival_rate(const ClassPicture& picture, Seconds now) const {
-  const Seconds age = std::max(0.0, now - picture.counted_at);
-  return picture.tasks * std::exp(-age / memory_s()) / memory_s();
+double ClusterState::arrival_rate(const ClassStatistics& statistics, Seconds now) const {
+  const Seconds age = std::max(0.0, now - statistics.counted_at);
+  return statistics.tasks * std::exp(-age / memory_s()) / memory_s();
 }
 
-void Ledger::set_types(std::vector<MachineType> types) {
+void ClusterState::set_types(std::vector<MachineType> types) {
   types_ = std::move(types);
   for (auto& [name, machine] : machines_) {
     if (!machine.type.empty()) set_type(machine, machine.type);
   }
 }
 
-const MachineType* Ledger::type(const std::string& name) const {
+const MachineType* ClusterState::type(const std::string& name) const {
   for (const auto& type : types_) {
     if (type.name == name) return &type;
   }
@@ -331,9 +333,9 @@
   return type.fetch_gb_per_s > 0 ? spec.image_gb / type.fetch_gb_per_s : 0;
 }
 
-Seconds soonest_start(const Ledger& ledger, const JobSpec& spec, bool boots) {
+Seconds soonest_start(const ClusterState& cluster, const JobSpec& spec, bool boots) {
   Seconds soonest = -1;
-  for (const auto& type : ledger.types()) {
+  for (const auto& type : cluster.types()) {
     if (type.zones.empty() || !allows(spec, type, spec.zone.value_or(type.zones.front()), false)) {
       continue;
     }
--- a/src/coordination/ledger.hpp
+++ b/src/coordination/cluster_state.hpp
@@ -1,4 +1,4 @@
-// The leader's picture of jobs, machines and placements, with the room and the quota they take.
+// The leader's statistics of jobs, machines and placements, with the room and the quota they take.
 // Plain data and arithmetic: no I/O, no clock of its own.
 #pragma once
 
@@ -94,7 +94,7 @@
   Seconds submitted = 0;    // the same, by the steady clock
   std::uint32_t chunk_tasks = 1;
   bool cancelled = false;
-  bool cancelled_by_word = false;  // a peer has said so; the record has not been read since
+  bool cancelled_by_peer = false;  // a peer has said so; the record has not been read since
 
   std::vector<bool> done;
   std::uint32_t done_count = 0;
@@ -116,15 +116,15 @@
   std::set<std::string> failed_on;
   Seconds last_placed_at = -1;  // of any of its tasks; see SchedulingCycle
   bool seen_running = false;
-  bool risen = false;  // was placed as urgent work because it had waited long; see triage
+  bool aged = false;  // was placed as urgent work because it had waited long; see triage
 
   const std::string& id() const { return spec.id; }
   // It fails wherever it runs, as one that was submitted with a mistake does.
   bool fails_everywhere() const { return failed_on.size() >= kFailsEverywhere; }
-  // For the choice of what is stopped for others: what has risen would else be stopped at once for
+  // For the choice of what is stopped for others: what has aged would else be stopped at once for
   // the very work that it was placed before, again and again.
   protocol::Priority standing() const {
-    return risen ? std::min(spec.priority, protocol::Priority::high) : spec.priority;
+    return aged ? std::min(spec.priority, protocol::Priority::high) : spec.priority;
   }
   std::uint32_t chunk_of(std::uint32_t task) const { return task / chunk_tasks; }
   std::uint32_t waiting() const;  // tasks that want a place
@@ -134,7 +134,7 @@
 
 // A direct launch that may still be carried out, late: until its answer, until the worker has seen
 // a higher token, or until the worker has begun another session.
-struct Doubt {
+struct UncertainLaunch {
   std::uint64_t token = 0;
   bool pending = false;  // its answer may still come
   // Not 0: the launch is in the answer to the report of this tick, under way perhaps through a
@@ -153,7 +153,7 @@
   // this leader directly, or was rented by it.
   bool present = false;
   // Since when it reports but nothing seems to reach it; -1: not so.
-  Seconds deaf_since = -1;
+  Seconds unreachable_since = -1;
   Seconds inspected_at = -1;
   std::uint64_t session = 0;
   std::uint64_t tick = 0;
@@ -169,8 +169,8 @@
   bool silent = false;              // its lease has run out unanswered; it must report anew
   Seconds silent_since = -1;        // when that was found
   bool returning = false;
-  int kept = 0;          // exited tasks that it may not forget yet, as of its last report
-  bool suspect = false;  // every task fails on it
+  int kept = 0;              // exited tasks that it may not forget yet, as of its last report
+  bool quarantined = false;  // every task fails on it
   // Since a task last succeeded on it: failures of jobs that are not at fault, and of which jobs.
   int failures = 0;
   std::set<std::string> failed_jobs;
@@ -180,7 +180,8 @@
   Resources used;
   ResourcesByPriority used_by_priority{};
   std::set<TaskId> tasks;
-  std::map<std::pair<TaskId, std::uint64_t>, Doubt> doubts;  // by task and attempt
+  std::map<std::pair<TaskId, std::uint64_t>, UncertainLaunch>
+      uncertain_launches;  // by task and attempt
   // Launches that this leader sent straight to the machine, and under which token. A late copy of
   // one is carried out until the worker has seen a higher token, once its task is forgotten there.
   std::map<std::pair<TaskId, std::uint64_t>, std::uint64_t> launched;
@@ -195,7 +196,7 @@
 };
 
 // What the jobs of a class have been like, with the latest counting most.
-struct ClassPicture {
+struct ClassStatistics {
   JobSpec latest;
   double tasks = 0;    // arrived, each weighted down with its age
   double squares = 0;  // the same of the squared sizes of the jobs, for their spread
@@ -205,9 +206,9 @@
   Seconds mean_run = 0;                   // of a task; 0: not known yet
 };
 
-class Ledger {
+class ClusterState {
  public:
-  explicit Ledger(const Settings& settings) : settings_(settings) {}
+  explicit ClusterState(const Settings& settings) : settings_(settings) {}
   void clear();
   // Time of day less steady time, by which times of day become steady ones.
   void set_day_offset(double offset) { day_offset_ = offset; }
@@ -251,9 +252,9 @@
   Seconds expected_run(const JobSpec& spec) const;
   void learn_run(const JobSpec& spec, Seconds took);
   void learn_arrival(const Job& job);
-  const std::map<std::string, ClassPicture>& classes() const { return classes_; }
+  const std::map<std::string, ClassStatistics>& classes() const { return classes_; }
   // Tasks of the class that arrive in a second.
-  double arrival_rate(const ClassPicture& picture, Seconds now) const;
+  double arrival_rate(const ClassStatistics& statistics, Seconds now) const;
   // The time over which arrivals are counted.
   Seconds memory_s() const;
 
@@ -264,7 +265,7 @@
 
   const Settings& settings_;
   double day_offset_ = 0;
-  std::map<std::string, ClassPicture> classes_;
+  std::map<std::string, ClassStatistics> classes_;
   std::unordered_map<std::string, std::unique_ptr<Job>> jobs_;
   std::map<std::string, Machine> machines_;
   std::map<std::string, Resources> used_;  // by team
@@ -276,7 +277,7 @@
 
 // How soon a task of the job can run on a machine that has nothing of it: one that is up, or one
 // that has to boot first; negative when no type takes it.
-Seconds soonest_start(const Ledger& ledger, const JobSpec& spec, bool boots);
+Seconds soonest_start(const ClusterState& cluster, const JobSpec& spec, bool boots);
 
 // Whether a machine of this type, zone and kind may run the job's tasks at all.
 bool allows(const JobSpec& spec, const MachineType& type, const std::string& zone, bool spot);
--- a/src/coordination/cycle_view.cpp
+++ b/src/coordination/cycle_view.cpp
@@ -4,7 +4,7 @@
 #include <tuple>
 
 #include "coordination/forecast.hpp"
-#include "coordination/triage.hpp"
+#include "coordination/work_order.hpp"
 
 namespace larkroad::coordination {
 namespace {
@@ -23,8 +23,8 @@
   room.memory_gb -= each.memory_gb * count;
 }
 
-CycleView::CycleView(Ledger& ledger, const GangHolds& holds, Seconds now)
-    : ledger_(ledger), now_(now) {
+CycleView::CycleView(ClusterState& cluster, const GangHolds& holds, Seconds now)
+    : cluster_(cluster), now_(now) {
   add_machines();
   add_gpu_needs();
   for (const auto& [job, hold] : holds.all()) {
@@ -36,17 +36,17 @@
 }
 
 void CycleView::add_machines() {
-  machines_.reserve(ledger_.machines().size());
+  machines_.reserve(cluster_.machines().size());
   std::map<std::tuple<const MachineType*, std::string, bool>, size_t> pool_of;
-  const Seconds patience = ledger_.settings().lease_s * kReportPatience;
-  for (auto& [name, machine] : ledger_.machines()) {
-    const MachineType* type = ledger_.type(machine.type);
+  const Seconds patience = cluster_.settings().lease_s * kReportPatience;
+  for (auto& [name, machine] : cluster_.machines()) {
+    const MachineType* type = cluster_.type(machine.type);
     if (type == nullptr || !machine.usable(now_, patience)) continue;
     const auto [at, made] = pool_of.try_emplace({type, machine.zone, machine.spot}, pools_.size());
     if (made) pools_.push_back({type, machine.zone, machine.spot, {}, {}});
     machines_.push_back({&machine, at->second, machine.room(), {}, {}});
   }
-  const auto least = least_need(ledger_);
+  const auto least = least_need(cluster_);
   by_name_.reserve(machines_.size());
   for (MachineView& view : machines_) {
     MachinePool& pool = pools_[view.pool];
@@ -57,7 +57,7 @@
 }
 
 void CycleView::add_gpu_needs() {
-  for (const auto& [id, job] : ledger_.jobs()) {
+  for (const auto& [id, job] : cluster_.jobs()) {
     if (job->spec.gpus <= 0 || job->waiting() == 0) continue;
     const Resources need = needs_of(job->spec);
     const bool known = std::any_of(gpu_needs_.begin(), gpu_needs_.end(),
@@ -67,7 +67,7 @@
 }
 
 void CycleView::add_reserves() {
-  for (const auto& expected : forecast(ledger_, now_)) {
+  for (const auto& expected : forecast(cluster_, now_)) {
     ClassReserve reserve{expected.spec, expected.missing(), 0, allowed_pools(*expected.spec), {}};
     const Resources need = needs_of(*expected.spec);
     double most = 0;
@@ -102,9 +102,9 @@
 }
 
 Resources CycleView::limit_left(const std::string& name) const {
-  const TeamSettings* team = ledger_.settings().team(name);
+  const TeamSettings* team = cluster_.settings().team(name);
   if (team == nullptr) return {};
-  Resources used = ledger_.used_by(name);
+  Resources used = cluster_.used_by(name);
   const auto taken = taken_.find(name);
   if (taken != taken_.end()) used += taken->second;
   return {team->cpus_max - used.cpus, team->gpus_max - used.gpus, kNoLimit};
@@ -156,7 +156,7 @@
   ZoneCounts out;
   if (!job.spec.one_zone && !job.spec.spread) return out;
   for (const auto& [task, placement] : job.live) {
-    if (const Machine* machine = ledger_.find_machine(placement.machine)) ++out[machine->zone];
+    if (const Machine* machine = cluster_.find_machine(placement.machine)) ++out[machine->zone];
   }
   if (out.contains("")) return std::nullopt;
   return out;
@@ -181,7 +181,7 @@
   if (!view.fetching) {
     view.fetching.emplace();
     for (const auto& id : view.machine->tasks) {
-      const Job* other = ledger_.job(id.job);
+      const Job* other = cluster_.job(id.job);
       if (other == nullptr || view.machine->images.contains(other->spec.image)) continue;
       (*view.fetching)[other->spec.image] = other->spec.image_gb;
     }
--- a/src/coordination/cycle_view.hpp
+++ b/src/coordination/cycle_view.hpp
@@ -1,4 +1,4 @@
-// What one scheduling cycle knows of the machines and of the teams' limits: the ledger's state,
+// What one scheduling cycle knows of the machines and of the teams' limits: the cluster's state,
 // less what the cycle itself has given away so far.
 #pragma once
 
@@ -9,8 +9,8 @@
 #include <unordered_map>
 #include <vector>
 
+#include "coordination/cluster_state.hpp"
 #include "coordination/gang_holds.hpp"
-#include "coordination/ledger.hpp"
 
 namespace larkroad::coordination {
 
@@ -48,13 +48,13 @@
 
 class CycleView {
  public:
-  CycleView(Ledger& ledger, const GangHolds& holds, Seconds now);
+  CycleView(ClusterState& cluster, const GangHolds& holds, Seconds now);
   // Pools and the name index point into the machines.
   CycleView(const CycleView&) = delete;
   CycleView& operator=(const CycleView&) = delete;
 
-  Ledger& ledger() { return ledger_; }
-  const Ledger& ledger() const { return ledger_; }
+  ClusterState& cluster() { return cluster_; }
+  const ClusterState& cluster() const { return cluster_; }
   Seconds now() const { return now_; }
   std::vector<MachinePool>& pools() { return pools_; }
   const MachinePool& pool_of(const MachineView& view) const { return pools_[view.pool]; }
@@ -96,7 +96,7 @@
   void add_gpu_needs();
   void add_reserves();
 
-  Ledger& ledger_;
+  ClusterState& cluster_;
   Seconds now_;
   std::vector<MachineView> machines_;
   std::vector<MachinePool> pools_;
--- a/src/coordination/fleet.cpp
+++ b/src/coordination/fleet.cpp
@@ -6,7 +6,7 @@
 #include <tuple>
 
 #include "coordination/forecast.hpp"
-#include "coordination/triage.hpp"
+#include "coordination/work_order.hpp"
 
 namespace larkroad::coordination {
 namespace {
@@ -42,12 +42,13 @@
 
 class Round {
  public:
-  Round(Ledger& ledger, const Refusals& refusals, const std::map<Market, int>& pending, Seconds now)
-      : ledger_(ledger), refusals_(refusals), now_(now) {
+  Round(ClusterState& cluster, const Refusals& refusals, const std::map<Market, int>& pending,
+        Seconds now)
+      : cluster_(cluster), refusals_(refusals), now_(now) {
     // Room that is there or on its way.
-    for (const auto& [name, machine] : ledger.machines()) {
-      const MachineType* type = ledger.type(machine.type);
-      if (type == nullptr || machine.returning || machine.taken_at || machine.suspect) continue;
+    for (const auto& [name, machine] : cluster.machines()) {
+      const MachineType* type = cluster.type(machine.type);
+      if (type == nullptr || machine.returning || machine.taken_at || machine.quarantined) continue;
       if (machine.silent && given_up(machine, *type)) continue;
       if (!machine.heard && now - machine.rented_at > kBootPatience * type->boot_s) continue;
       spaces_.push_back(
@@ -58,7 +59,7 @@
       if (a.wanted != b.wanted) return a.wanted;
       return hourly(*a.type, a.spot) < hourly(*b.type, b.spot);
     });
-    for (const auto& type : ledger.types()) {
+    for (const auto& type : cluster.types()) {
       for (const auto& zone : type.zones) {
         for (const bool spot : {true, false}) {
           const Market market{type.name, zone, spot};
@@ -67,7 +68,7 @@
       }
     }
     for (const auto& [market, count] : pending) {
-      const MachineType* type = ledger.type(market.type);
+      const MachineType* type = cluster.type(market.type);
       for (int i = 0; type != nullptr && i < count; ++i) {
         spaces_.push_back({type, market.zone, market.spot, capacity_of(*type)});
       }
@@ -77,14 +78,14 @@
   FleetPlan run(Seconds start_bound) {
     FleetPlan out;
     // Most machines of a busy fleet are full: they are passed over once, not once for each job.
-    const auto forecasts = forecast(ledger_, now_);
-    least_ = least_need(ledger_);
+    const auto forecasts = forecast(cluster_, now_);
+    least_ = least_need(cluster_);
     for (const auto& f : forecasts) {
       const Resources need = needs_of(*f.spec);
       least_ = least_ ? least_of(*least_, need) : need;
     }
     for (Space& space : spaces_) space.full = !least_ || !space.room.fits(*least_);
-    for (Job* job : order_of_work(ledger_, now_, start_bound)) {
+    for (Job* job : order_of_work(cluster_, now_, start_bound)) {
       // Nothing is rented for what fails everywhere but for its next try.
       if (job->fails_everywhere() && now_ < job->retry_at) continue;
       const bool one_task = job->fails_everywhere() && !job->spec.gang;
@@ -118,12 +119,12 @@
     std::map<std::string, std::uint32_t> live;
     std::string live_zone;
     for (const auto& [task, placement] : job.live) {
-      const Machine* machine = ledger_.find_machine(placement.machine);
+      const Machine* machine = cluster_.find_machine(placement.machine);
       if (machine == nullptr) continue;
       ++live[machine->zone];
       live_zone = machine->zone;
     }
-    const auto& zones = ledger_.settings().zones;
+    const auto& zones = cluster_.settings().zones;
     if (job.spec.spread) {
       const std::uint32_t most = (job.spec.tasks + 1) / 2;
       for (const auto& zone : zones) out[zone] = most - std::min(most, live[zone]);
@@ -145,7 +146,7 @@
         }
         bool possible = false;
         bool rentable = false;
-        for (const auto& type : ledger_.types()) {
+        for (const auto& type : cluster_.types()) {
           if (std::find(type.zones.begin(), type.zones.end(), zone) == type.zones.end()) continue;
           for (const bool spot : {true, false}) {
             if (!allows(job.spec, type, zone, spot)) continue;
@@ -176,9 +177,9 @@
       const auto it = zones.find(zone);
       return it == zones.end() ? 0 : it->second;
     };
-    const TeamSettings* team = ledger_.settings().team(spec.team);
+    const TeamSettings* team = cluster_.settings().team(spec.team);
     if (team == nullptr) return;
-    Resources used = ledger_.used_by(spec.team);
+    Resources used = cluster_.used_by(spec.team);
     used += taken_[spec.team];
     const Resources left{team->cpus_max - used.cpus, team->gpus_max - used.gpus, kNoLimit};
     count = std::min(count, left.times({spec.cpus, spec.gpus, 0}));
@@ -226,8 +227,8 @@
     for (const Space& space : spaces_) {
       if (space.machine != nullptr && space.wanted) wanted.insert(space.machine->name);
     }
-    for (const auto& [name, machine] : ledger_.machines()) {
-      const MachineType* type = ledger_.type(machine.type);
+    for (const auto& [name, machine] : cluster_.machines()) {
+      const MachineType* type = cluster_.type(machine.type);
       if (type == nullptr || machine.returning) continue;
       if (!machine.heard) {
         if (machine.tasks.empty() && now_ - machine.rented_at > kBootPatience * type->boot_s) {
@@ -240,7 +241,7 @@
         continue;
       }
       if (!machine.tasks.empty()) continue;
-      if (machine.suspect ||
+      if (machine.quarantined ||
           (!wanted.contains(name) && now_ - machine.idle_since > kIdlePatience * type->boot_s &&
            now_ - machine.rented_at > kShortestRental)) {
         out.give_back.push_back(name);
@@ -248,7 +249,7 @@
     }
   }
 
-  Ledger& ledger_;
+  ClusterState& cluster_;
   const Refusals& refusals_;
   Seconds now_;
   std::vector<Space> spaces_;
@@ -272,9 +273,9 @@
   return it == pauses_.end() || now >= it->second.until;
 }
 
-FleetPlan plan_fleet(Ledger& ledger, const Refusals& refusals, const std::map<Market, int>& pending,
-                     Seconds now, Seconds start_bound) {
-  return Round(ledger, refusals, pending, now).run(start_bound);
+FleetPlan plan_fleet(ClusterState& cluster, const Refusals& refusals,
+                     const std::map<Market, int>& pending, Seconds now, Seconds start_bound) {
+  return Round(cluster, refusals, pending, now).run(start_bound);
 }
 
 }  // namespace larkroad::coordination
--- a/src/coordination/fleet.hpp
+++ b/src/coordination/fleet.hpp
@@ -1,4 +1,4 @@
-// How many machines of which kind to rent and to return. Functions of the ledger and the time.
+// How many machines of which kind to rent and to return. Functions of the cluster and the time.
 #pragma once
 
 #include <map>
@@ -6,7 +6,7 @@
 #include <tuple>
 #include <vector>
 
-#include "coordination/ledger.hpp"
+#include "coordination/cluster_state.hpp"
 
 namespace larkroad::coordination {
 
@@ -45,7 +45,7 @@
 };
 
 // `pending`: machines asked for without an answer so far.
-FleetPlan plan_fleet(Ledger& ledger, const Refusals& refusals, const std::map<Market, int>& pending,
-                     Seconds now, Seconds start_bound);
+FleetPlan plan_fleet(ClusterState& cluster, const Refusals& refusals,
+                     const std::map<Market, int>& pending, Seconds now, Seconds start_bound);
 
 }  // namespace larkroad::coordination
--- a/src/coordination/forecast.hpp
+++ b/src/coordination/forecast.hpp
@@ -6,7 +6,7 @@
 #include <string>
 #include <vector>
 
-#include "coordination/ledger.hpp"
+#include "coordination/cluster_state.hpp"
 
 namespace larkroad::coordination {
 
@@ -19,6 +19,6 @@
   double missing() const { return wanted > present ? wanted - present : 0; }
 };
 
-std::vector<Forecast> forecast(const Ledger& ledger, Seconds now);
+std::vector<Forecast> forecast(const ClusterState& cluster, Seconds now);
 
 }  // namespace larkroad::coordination
--- a/src/coordination/gang_holds.hpp
+++ b/src/coordination/gang_holds.hpp
@@ -6,7 +6,7 @@
 #include <string>
 #include <vector>
 
-#include "coordination/ledger.hpp"
+#include "coordination/cluster_state.hpp"
 
 namespace larkroad::coordination {
 
--- a/src/coordination/leader.cpp
+++ b/src/coordination/leader.cpp
@@ -31,8 +31,8 @@
       election_(election),
       catalog_(catalog),
       settings_(settings),
-      ledger_(settings),
-      homes_(settings) {}
+      cluster_(settings),
+      relay_assignment_(settings) {}
 
 void Leader::later(Seconds delay, std::function<void()> fn) {
   clock_.after(delay, guarded(std::move(fn)));
@@ -40,13 +40,13 @@
 
 void Leader::begin(bool spread) {
   ++epoch_;
-  homes_.clear(spread);
+  relay_assignment_.clear(spread);
   ready_ = false;
   loading_ = true;
   begun_at_ = clock_.now();
   first_token_ = election_.token();
-  ledger_.clear();
-  ledger_.set_day_offset(clock_.unix_time() - clock_.now());
+  cluster_.clear();
+  cluster_.set_day_offset(clock_.unix_time() - clock_.now());
   holds_.clear();
   refusals_.clear();
   loaded_placements_.clear();
@@ -69,7 +69,7 @@
   fence_wanted_ = false;
   fenced_at_ = begun_at_;
   watched_to_ = 0;
-  ledger_.set_types(catalog_.types());
+  cluster_.set_types(catalog_.types());
   load_jobs("");
 }
 
@@ -77,12 +77,12 @@
   ++epoch_;
   ready_ = false;
   loading_ = false;
-  ledger_.clear();
+  cluster_.clear();
   holds_.clear();
 }
 
 void Leader::types_changed() {
-  if (ready_) ledger_.set_types(catalog_.types());
+  if (ready_) cluster_.set_types(catalog_.types());
 }
 
 void Leader::tick() {
@@ -92,7 +92,7 @@
   later(settings_.report_s * kTickRatio, [this] { tick(); });
   if (!election_.leads()) return;
   std::vector<std::string> silent;
-  for (auto& [name, machine] : ledger_.machines()) {
+  for (auto& [name, machine] : cluster_.machines()) {
     if (machine.silent || machine.answered_at < 0) continue;
     // Its worker ends every task by then, and begins a new session when it can be heard again.
     if (now > machine.answered_at + settings_.lease_s * (1 + kDrift) + settings_.report_s / 10) {
@@ -100,15 +100,16 @@
     }
   }
   for (const auto& name : silent) {
-    Machine& machine = *ledger_.find_machine(name);
+    Machine& machine = *cluster_.find_machine(name);
     machine.silent = true;
     machine.silent_since = now;
     spdlog::info("machine {} is silent: its lease is over", name);
     end_sessions(machine, machine.session + 1);
   }
-  mind_deaf_machines();
-  homes_.count(listed_once_ ? std::optional(ledger_.machines().size()) : std::nullopt, now);
-  for (const auto& [id, job] : ledger_.jobs()) {
+  check_unreachable_machines();
+  relay_assignment_.count(listed_once_ ? std::optional(cluster_.machines().size()) : std::nullopt,
+                          now);
+  for (const auto& [id, job] : cluster_.jobs()) {
     if (!job->busy) sync(*job);
   }
   if (fence_wanted_ && now - fenced_at_ > settings_.lease_s / 4) {
@@ -117,7 +118,7 @@
     election_.raise_token();
   }
   if (!holds_.all().empty() || plan_from_ != 0) request_plan();
-  for (const auto& [id, job] : ledger_.jobs()) {
+  for (const auto& [id, job] : cluster_.jobs()) {
     if (job->waiting() > 0) {
       request_plan();
       break;
@@ -146,10 +147,10 @@
   limits.out_of_time = [this, begun] {
     return clock_.now() - begun > settings_.report_s * kTickRatio * kPlanBudgetRatio;
   };
-  const Plan decided = plan(ledger_, holds_, begun, limits);
+  const Plan decided = plan(cluster_, holds_, begun, limits);
   plan_from_ = decided.stopped_at;
   for (const auto& assignment : decided.assignments) {
-    Job* job = ledger_.job(assignment.job);
+    Job* job = cluster_.job(assignment.job);
     if (job == nullptr) continue;
     if (job->spec.gang && job->live.empty()) {
       for (const auto& [number, chunk] : job->chunks) {
@@ -157,12 +158,12 @@
       }
       ++job->gang_attempt;
     }
-    if (rise_of(ledger_, *job, begun, limits.start_bound_s) == Rise::urgent) job->risen = true;
+    if (aging_of(cluster_, *job, begun, limits.start_bound_s) == Aging::urgent) job->aged = true;
     for (const auto& [task, name] : assignment.tasks) {
-      Machine& machine = ledger_.machine(name);
+      Machine& machine = cluster_.machine(name);
       const std::uint64_t attempt =
           job->spec.gang ? job->gang_attempt : job->chunks[job->chunk_of(task)].attempt + 1;
-      ledger_.place(*job, task, machine, attempt, begun);
+      cluster_.place(*job, task, machine, attempt, begun);
       job->chunks[job->chunk_of(task)].write(begun);
     }
     spdlog::debug("job {}: {} tasks placed, first on {}", job->id(), assignment.tasks.size(),
@@ -170,7 +171,7 @@
     sync(*job);
   }
   for (const auto& victim : decided.preemptions) {
-    Job* job = ledger_.job(victim.job);
+    Job* job = cluster_.job(victim.job);
     if (job == nullptr) continue;
     const auto it = job->live.find(victim.task);
     if (it == job->live.end() || it->second.stage != Placement::Stage::held) continue;
--- a/src/coordination/leader.hpp
+++ b/src/coordination/leader.hpp
@@ -1,4 +1,4 @@
-// What the leading node does: keeps the ledger true to records and reports, and runs the loops
+// What the leading node does: keeps the cluster true to records and reports, and runs the loops
 // that bring what is towards what is wanted. All I/O of the leader is here; what to do is decided
 // by the planner and the fleet.
 #pragma once
@@ -10,13 +10,13 @@
 #include <vector>
 
 #include "coordination/catalog.hpp"
+#include "coordination/cluster_state.hpp"
 #include "coordination/election.hpp"
 #include "coordination/fleet.hpp"
-#include "coordination/front.hpp"
-#include "coordination/homes.hpp"
 #include "coordination/lag_meter.hpp"
-#include "coordination/ledger.hpp"
 #include "coordination/planner.hpp"
+#include "coordination/relay_assignment.hpp"
+#include "coordination/user_api.hpp"
 #include "protocol/relay.hpp"
 #include "protocol/workers.hpp"
 #include "storage/state_client.hpp"
@@ -29,8 +29,9 @@
   Leader(transport::Clock& clock, transport::Client& client, storage::StateClient& state,
          Election& election, Catalog& catalog, const Settings& settings);
 
-  void begin(bool spread);  // elected: reads everything, then works; see Homes for `spread`
-  void end();               // deposed: forgets everything
+  void begin(
+      bool spread);  // elected: reads everything, then works; see RelayAssignment for `spread`
+  void end();        // deposed: forgets everything
   void types_changed();
   // Elected, but still reading the records: it can answer no report yet.
   bool loading() const { return loading_; }
@@ -46,12 +47,12 @@
   std::vector<protocol::RelayedAnswer> relayed(const protocol::RelayBatch& batch);
   // Whether a batch for the leader with this token is for this leadership.
   bool is_token(std::uint64_t token) const;
-  Homes& homes() { return homes_; }
+  RelayAssignment& relay_assignment() { return relay_assignment_; }
   // Whether machines that reported are not heard any more, all of them at once: -1 when not, else
   // since when.
   Seconds unheard_since() const;
 
-  std::unordered_map<std::string, Front::Progress> progress() const;
+  std::unordered_map<std::string, UserApi::Progress> progress() const;
 
  private:
   using Commands = std::vector<protocol::Command>;
@@ -113,14 +114,14 @@
   void send_commands(const std::string& machine, const Commands& commands);
   void commands_answered(const std::string& machine, const Commands& commands,
                          transport::Outcome outcome, const transport::Response& response);
-  void settle_doubts(Machine& machine, const Commands& commands, transport::Outcome outcome,
-                     int status);
+  void settle_launches(Machine& machine, const Commands& commands, transport::Outcome outcome,
+                       int status);
   void launch(Job& job, const std::vector<std::uint32_t>& tasks);
   void inspect(Machine& machine);
-  void want_fence(const Doubt& doubt);
-  void suspect_deaf(Machine& machine);
-  void heard_back(Machine& machine);
-  void mind_deaf_machines();
+  void want_fence(const UncertainLaunch& doubt);
+  void suspect_unreachable(Machine& machine);
+  void reached_again(Machine& machine);
+  void check_unreachable_machines();
   void end_sessions(Machine& machine, std::uint64_t session);
   void all_gone(Machine& machine, const std::string& why);
   void machine_gone(const std::string& name, const std::string& why);
@@ -153,10 +154,10 @@
   Seconds begun_at_ = 0;
   std::uint64_t first_token_ = 0;  // of this leadership, before it was ever raised
   Seconds ready_at_ = 0;
-  Ledger ledger_;
+  ClusterState cluster_;
   GangHolds holds_;
   Refusals refusals_;
-  Homes homes_;
+  RelayAssignment relay_assignment_;
   std::uint64_t watched_to_ = 0;
   std::vector<storage::Entry> loaded_placements_;
   std::map<std::string, storage::Images> loaded_images_;
--- a/src/coordination/leader_cloud.cpp
+++ b/src/coordination/leader_cloud.cpp
@@ -11,7 +11,7 @@
 constexpr double kFleetRatio = 1.0 / 3;
 constexpr Seconds kCloudTimeout = 10;
 // The part of the machines that may go back because nothing reaches them.
-constexpr double kDeafMost = 0.2;
+constexpr double kUnreachableMost = 0.2;
 // Prices move; the catalog is asked again after this many lags of the machine list.
 constexpr double kCatalogRatio = 10;
 
@@ -25,7 +25,7 @@
   // Until the machines of an earlier leader have had time to report, what is there is not known.
   if (!listed_once_ || clock_.now() - ready_at_ < settings_.report_s * 1.5) return;
   const Seconds begun = clock_.now();
-  const FleetPlan decided = plan_fleet(ledger_, refusals_, pending_rentals_, clock_.now(),
+  const FleetPlan decided = plan_fleet(cluster_, refusals_, pending_rentals_, clock_.now(),
                                        settings_.operators.start_bound_s);
   activity_.fleet_time += clock_.now() - begun;
   for (const auto& wanted : decided.rent) rent(wanted.market, wanted.count);
@@ -35,18 +35,18 @@
 // Machines that report and don't hear are asked until they answer. One that never does within a
 // lease holds nothing any more, as its worker's lease has run out too: it goes back. When that
 // would be a large part of the fleet, the fault is more likely on this side, and nothing is done.
-void Leader::mind_deaf_machines() {
+void Leader::check_unreachable_machines() {
   const Seconds now = clock_.now();
   size_t deaf = 0;
   std::vector<std::string> lost;
-  for (auto& [name, machine] : ledger_.machines()) {
-    if (machine.deaf_since < 0 || machine.silent || machine.returning) continue;
+  for (auto& [name, machine] : cluster_.machines()) {
+    if (machine.unreachable_since < 0 || machine.silent || machine.returning) continue;
     ++deaf;
-    if (now - machine.deaf_since > settings_.lease_s) lost.push_back(name);
+    if (now - machine.unreachable_since > settings_.lease_s) lost.push_back(name);
     if (now - machine.inspected_at > settings_.report_s) inspect(machine);
   }
-  if (lost.empty() ||
-      static_cast<double>(deaf) > kDeafMost * static_cast<double>(ledger_.machines().size()) + 1) {
+  if (lost.empty() || static_cast<double>(deaf) >
+                          kUnreachableMost * static_cast<double>(cluster_.machines().size()) + 1) {
     return;
   }
   give_back(lost);
@@ -59,7 +59,7 @@
     Resources all, placed, running;
   };
   std::map<std::string, Use> by_type;
-  for (const auto& [name, machine] : ledger_.machines()) {
+  for (const auto& [name, machine] : cluster_.machines()) {
     Use& use = by_type[machine.type + (machine.spot ? "/spot" : "")];
     if (!machine.heard) {
       ++use.coming;
@@ -70,7 +70,7 @@
     use.all += machine.capacity;
     use.placed += machine.used;
     for (const auto& id : machine.tasks) {
-      const Job* job = ledger_.job(id.job);
+      const Job* job = cluster_.job(id.job);
       if (job != nullptr && job->live.at(id.task).running_since >= 0) {
         use.running += needs_of(job->spec);
       }
@@ -87,7 +87,7 @@
         fmt::format(" cpus {:.0f}/{:.0f}/{:.0f};", use.running.cpus, use.placed.cpus, use.all.cpus);
   }
   std::map<std::string, std::pair<int, std::uint32_t>> waiting;
-  for (const auto& [id, job] : ledger_.jobs()) {
+  for (const auto& [id, job] : cluster_.jobs()) {
     if (job->waiting() == 0) continue;
     ++waiting[job->spec.job_class].first;
     waiting[job->spec.job_class].second += job->waiting();
@@ -135,13 +135,13 @@
           }
           settled();
           for (const auto& name : names) {
-            Machine& machine = ledger_.machine(name);
+            Machine& machine = cluster_.machine(name);
             if (machine.rented_at == 0) machine.rented_at = sent;
             machine.present = true;  // whatever it reports comes after this leader's beginning
             machine.there_at = std::max(machine.there_at, clock_.now());
             machine.zone = request.zone;
             machine.spot = request.spot;
-            ledger_.set_type(machine, request.type);
+            cluster_.set_type(machine, request.type);
           }
           if (static_cast<int>(names.size()) < request.count) {
             refusals_.refused(market, clock_.now(), settings_.list_lag_s, settings_.list_lag_s * 8);
@@ -167,7 +167,7 @@
 void Leader::give_back(const std::vector<std::string>& names) {
   std::vector<std::string> batch;
   for (const auto& name : names) {
-    Machine* machine = ledger_.find_machine(name);
+    Machine* machine = cluster_.find_machine(name);
     if (machine == nullptr || machine->returning) continue;
     if (static_cast<int>(batch.size()) >= protocol::kMostReturned) break;
     machine->returning = true;
@@ -184,7 +184,7 @@
                  }
                  later(settings_.report_s, [this, batch] {
                    for (const auto& name : batch) {
-                     if (Machine* machine = ledger_.find_machine(name)) machine->returning = false;
+                     if (Machine* machine = cluster_.find_machine(name)) machine->returning = false;
                    }
                    give_back(batch);
                  });
@@ -212,13 +212,13 @@
                    std::vector<std::string> failed;
                    for (const auto& listed : page.machines) {
                      if (gone_machines_.contains(listed.name)) continue;
-                     Machine& machine = ledger_.machine(listed.name);
+                     Machine& machine = cluster_.machine(listed.name);
                      machine.listed_at = begun;
                      if (machine.rented_at == 0) machine.rented_at = now - listed.age_s;
                      if (machine.type.empty()) {
                        machine.zone = listed.zone;
                        machine.spot = listed.spot;
-                       ledger_.set_type(machine, listed.type);
+                       cluster_.set_type(machine, listed.type);
                      }
                      if (machine.address.empty()) machine.address = listed.address;
                      if (listed.state == protocol::ListedState::failed) {
@@ -231,7 +231,7 @@
                    for (const auto& name : failed) {
                      // It stopped on its own, and all that was on it; it stays listed until it is
                      // deleted.
-                     Machine* machine = ledger_.find_machine(name);
+                     Machine* machine = cluster_.find_machine(name);
                      if (machine == nullptr || machine->returning) continue;
                      all_gone(*machine, "machine " + name + " has failed");
                      give_back({name});
@@ -260,7 +260,7 @@
   // showed, or which was rented before that moment, proves that it is gone.
   const Seconds oldest = begun - 2 * settings_.list_lag_s - settings_.report_s;
   std::vector<std::string> missing;
-  for (const auto& [name, machine] : ledger_.machines()) {
+  for (const auto& [name, machine] : cluster_.machines()) {
     // A machine of an earlier leader's records counts too: when leaders change often, each would
     // otherwise wait anew for the lease of one that has long been taken.
     const Seconds known = std::max(machine.listed_at, machine.there_at);
@@ -274,9 +274,9 @@
   std::erase_if(gone_machines_, [&](const auto& gone) { return gone.second < forget; });
 }
 
-std::unordered_map<std::string, Front::Progress> Leader::progress() const {
-  std::unordered_map<std::string, Front::Progress> out;
-  for (const auto& [id, job] : ledger_.jobs()) {
+std::unordered_map<std::string, UserApi::Progress> Leader::progress() const {
+  std::unordered_map<std::string, UserApi::Progress> out;
+  for (const auto& [id, job] : cluster_.jobs()) {
     const std::uint32_t running = job->running();
     if (job->done_count > 0 || running > 0) out[id] = {job->done_count, running};
   }
--- a/src/coordination/leader_loading.cpp
+++ b/src/coordination/leader_loading.cpp
@@ -84,7 +84,7 @@
     std::string id;
     std::uint32_t chunk = 0;
     if (!storage::parse_placement_key(entry.key, id, chunk)) continue;
-    Job* job = ledger_.job(id);
+    Job* job = cluster_.job(id);
     if (job == nullptr) {
       garbage_.push_back(entry.key);
       continue;
@@ -93,7 +93,7 @@
       const auto record = storage::decode_chunk(entry.data);
       placed += record.placed.size();
       // An earlier leader's launches may still be on their way, under any token below this one.
-      ledger_.load_chunk(*job, chunk, record, entry.mark, election_.token() - 1, now);
+      cluster_.load_chunk(*job, chunk, record, entry.mark, election_.token() - 1, now);
     } catch (const std::exception& error) {
       // Not ours to guess at: without this record a task could run twice.
       spdlog::error("record {}: {}", entry.key, error.what());
@@ -103,25 +103,25 @@
   }
   loaded_placements_.clear();
   loaded_placements_.shrink_to_fit();
-  for (auto& [name, machine] : ledger_.machines()) {
+  for (auto& [name, machine] : cluster_.machines()) {
     // The leader before this one may have answered its reports until its own bound.
     machine.answered_at = std::max(machine.answered_at, begun_at_ + election_.retention());
     machine.there_at = begun_at_;
   }
-  for (const auto& [id, job] : ledger_.jobs()) {
+  for (const auto& [id, job] : cluster_.jobs()) {
     if (job->spec.gang && job->live.size() > 1) job->gang_started = true;  // to be on the safe side
   }
   ready_ = true;
   loading_ = false;
   election_.view_proved(loading_since_);
-  ledger_.set_types(catalog_.types());
+  cluster_.set_types(catalog_.types());
   ready_at_ = now;
-  spdlog::info("ready: {} jobs, {} tasks placed, after {:.0f} ms", ledger_.jobs().size(), placed,
+  spdlog::info("ready: {} jobs, {} tasks placed, after {:.0f} ms", cluster_.jobs().size(), placed,
                (now - begun_at_) * 1000);
   std::vector<std::string> ids;
-  for (const auto& [id, job] : ledger_.jobs()) ids.push_back(id);
+  for (const auto& [id, job] : cluster_.jobs()) ids.push_back(id);
   for (const auto& id : ids) {
-    Job* job = ledger_.job(id);
+    Job* job = cluster_.job(id);
     if (job == nullptr) continue;
     if (job->cancelled) {
       cancel_job(*job);
@@ -161,20 +161,20 @@
 
 void Leader::apply_job(const std::string& id, const storage::Json& data, std::uint64_t mark) {
   if (const auto it = finished_.find(id); it != finished_.end() && mark < it->second) return;
-  Job* job = ledger_.job(id);
+  Job* job = cluster_.job(id);
   if (job != nullptr && mark <= job->mark) return;
   try {
     const auto record = storage::decode_job(id, data);
     if (job == nullptr) {
-      job = &ledger_.add_job(id, record, mark);
-      ledger_.learn_arrival(*job);
+      job = &cluster_.add_job(id, record, mark);
+      cluster_.learn_arrival(*job);
       spdlog::debug("job {}: {} of {} tasks, class {}, team {}", id,
                     record.spec.gang ? "gang" : "array", record.spec.tasks, record.spec.job_class,
                     record.spec.team);
     } else {
       job->mark = mark;
     }
-    job->cancelled_by_word = false;
+    job->cancelled_by_peer = false;
     if (record.cancelled && ready_) {
       cancel_job(*job);
     } else if (ready_) {
@@ -186,10 +186,10 @@
 }
 
 bool Leader::cancelled_elsewhere(const std::string& id) {
-  Job* job = ledger_.job(id);
+  Job* job = cluster_.job(id);
   if (job == nullptr) return false;
   if (job->cancelled) return true;
-  job->cancelled_by_word = true;
+  job->cancelled_by_peer = true;
   if (ready_) {
     cancel_job(*job);
   } else {
@@ -202,11 +202,11 @@
   state_.get(storage::job_key(id), guarded([this, id](Status status, storage::Entry entry) {
                if (status == Status::ok) {
                  apply_job(id, entry.data, entry.mark);
-                 if (Job* job = ledger_.job(id)) {
+                 if (Job* job = cluster_.job(id)) {
                    job->busy = false;
-                   if (job->cancelled_by_word) {
+                   if (job->cancelled_by_peer) {
                      // The record says otherwise, and it is the record that counts.
-                     job->cancelled = job->cancelled_by_word = false;
+                     job->cancelled = job->cancelled_by_peer = false;
                      request_plan();
                    }
                    sync(*job);
--- a/src/coordination/leader_records.cpp
+++ b/src/coordination/leader_records.cpp
@@ -26,7 +26,7 @@
       sent.push_back(task);
     }
   }
-  for (const auto task : unsent) ledger_.unplace(job, task, clock_.now());
+  for (const auto task : unsent) cluster_.unplace(job, task, clock_.now());
   for (const auto task : sent) {
     const auto it = job.live.find(task);
     if (it != job.live.end()) stop(job, it->second, 0);
@@ -36,7 +36,7 @@
 
 void Leader::sync(Job& job) {
   if (job.busy || !ready_ || !election_.leads()) return;
-  if (job.over() && job.cancelled_by_word) {
+  if (job.over() && job.cancelled_by_peer) {
     job.busy = true;  // until its record has been read: nothing is written by hearsay
     refresh_job(job.id());
     return;
@@ -59,7 +59,7 @@
     }
     const std::string key = storage::placement_key(job.id(), number);
     txn.guards.push_back({key, chunk.mark});
-    txn.writes.push_back({key, storage::encode(ledger_.chunk_record(job, number)), std::nullopt});
+    txn.writes.push_back({key, storage::encode(cluster_.chunk_record(job, number)), std::nullopt});
     bytes += txn.writes.back().data.dump().size() + key.size() + 64;
     chunks.push_back(number);
     chunk.dirty = false;
@@ -89,7 +89,7 @@
 void Leader::synced(const std::string& id, const std::vector<std::uint32_t>& chunks,
                     const std::vector<storage::PlacedTask>& recorded,
                     const std::vector<std::uint32_t>& done, const storage::CommitReply& reply) {
-  Job* job = ledger_.job(id);
+  Job* job = cluster_.job(id);
   if (job == nullptr) return;
   job->busy = false;
   if (reply.status != Status::ok) {
@@ -102,7 +102,7 @@
     if (reply.status == Status::conflict && reply.failed_on(storage::kLeaderKey)) {
       // Either this node raised its own token meanwhile, or it no longer leads and will hear so.
       later(settings_.report_s * kTickRatio, [this, id] {
-        if (Job* again = ledger_.job(id)) sync(*again);
+        if (Job* again = cluster_.job(id)) sync(*again);
       });
       return;
     }
@@ -127,7 +127,7 @@
   }
   if (job->cancelled) {
     // Recorded, but nothing was sent and nothing will be.
-    for (const auto task : launches) ledger_.unplace(*job, task, clock_.now());
+    for (const auto task : launches) cluster_.unplace(*job, task, clock_.now());
     launches.clear();
   }
   if (job->spec.gang) {
@@ -174,13 +174,13 @@
   state_.settle(
       std::move(txn), [this, epoch = epoch_] { return epoch == epoch_; },
       guarded([this, id = job.id(), rest](const storage::CommitReply& reply) {
-        Job* job = ledger_.job(id);
+        Job* job = cluster_.job(id);
         if (job == nullptr) return;
         if (reply.status == Status::ok) {
           spdlog::info("job {} is {}", id, job->cancelled ? "cancelled" : "done");
           garbage_.insert(garbage_.end(), rest.begin(), rest.end());
           finished_[id] = reply.revision;
-          ledger_.remove_job(id);
+          cluster_.remove_job(id);
           drop_garbage();
           request_plan();
           return;
@@ -191,7 +191,7 @@
         }
         job->busy = false;
         later(settings_.report_s * kTickRatio, [this, id] {
-          if (Job* again = ledger_.job(id)) sync(*again);
+          if (Job* again = cluster_.job(id)) sync(*again);
         });
       }));
 }
@@ -222,7 +222,7 @@
   storage::Transaction txn;
   std::vector<std::string> names;
   txn.guards.push_back({storage::kLeaderKey, election_.token()});
-  for (auto& [name, machine] : ledger_.machines()) {
+  for (auto& [name, machine] : cluster_.machines()) {
     if (!machine.images_changed) continue;
     if (static_cast<int>(txn.changes()) >= settings_.txn_ops) break;
     std::vector<std::pair<Seconds, std::pair<std::string, double>>> by_use;
@@ -245,7 +245,7 @@
                   recording_images_ = false;
                   if (reply.status == Status::ok) return;
                   for (const auto& name : names) {
-                    if (Machine* machine = ledger_.find_machine(name))
+                    if (Machine* machine = cluster_.find_machine(name))
                       machine->images_changed = true;
                   }
                 }),
@@ -257,7 +257,7 @@
   const auto it = job.live.find(task);
   const bool gang = job.spec.gang && job.spec.tasks > 1;
   const bool fell_apart = gang && job.gang_started && it != job.live.end();
-  ledger_.unplace(job, task, clock_.now());
+  cluster_.unplace(job, task, clock_.now());
   if (fell_apart) break_gang(job, why);
   if (job.cancelled && job.over()) sync(job);
   request_plan();
@@ -275,7 +275,7 @@
       stop(job, placement, 0);
     }
   }
-  for (const auto task : unsent) ledger_.unplace(job, task, clock_.now());
+  for (const auto task : unsent) cluster_.unplace(job, task, clock_.now());
 }
 
 }  // namespace larkroad::coordination
--- a/src/coordination/leader_workers.cpp
+++ b/src/coordination/leader_workers.cpp
@@ -41,13 +41,13 @@
 
 transport::Response Leader::checkin(const protocol::Report& report, const std::string& via) {
   const Seconds now = clock_.now();
-  if (const auto home = homes_.elsewhere(report.machine, report.zone, via, now)) {
+  if (const auto home = relay_assignment_.elsewhere(report.machine, report.zone, via, now)) {
     return {421, protocol::encode_redirect(*home), 0, true};
   }
-  homes_.reported(report.machine, via, now);
+  relay_assignment_.reported(report.machine, via, now);
   Commands commands;
   if (!gone_machines_.contains(report.machine)) {
-    Machine& machine = ledger_.machine(report.machine);
+    Machine& machine = cluster_.machine(report.machine);
     // The answer renews the worker's lease as of when the report was sent, so not beyond a lease
     // from now, however late a relay hands the answer on. One that is no newer than what has been
     // heard was sent before that, however late this copy of it comes.
@@ -65,7 +65,7 @@
 Seconds Leader::unheard_since() const {
   Seconds newest = ready_at_;
   int there = 0;
-  for (const auto& [name, machine] : ledger_.machines()) {
+  for (const auto& [name, machine] : cluster_.machines()) {
     if (!machine.heard || machine.silent) continue;
     ++there;
     newest = std::max(newest, machine.heard_at);
@@ -78,7 +78,7 @@
 }
 
 std::vector<protocol::RelayedAnswer> Leader::relayed(const protocol::RelayBatch& batch) {
-  homes_.relays(batch.member, clock_.now());
+  relay_assignment_.relays(batch.member, clock_.now());
   std::vector<protocol::RelayedAnswer> out;
   for (const auto& item : batch.reports) {
     protocol::Report report;
@@ -90,7 +90,7 @@
         continue;
       }
     } else {
-      const Machine* machine = ledger_.find_machine(item.machine);
+      const Machine* machine = cluster_.find_machine(item.machine);
       if (machine == nullptr || machine->relayed.session != item.session ||
           machine->relayed.tick != item.base || item.tick < item.base) {
         out.push_back({protocol::kNeedsWords, ""});
@@ -106,7 +106,7 @@
     }
     auto response = checkin(report, batch.member);
     // What the next ones may be told to be the same as.
-    Machine* machine = item.words.empty() ? nullptr : ledger_.find_machine(report.machine);
+    Machine* machine = item.words.empty() ? nullptr : cluster_.find_machine(report.machine);
     if (response.status == 200 && machine != nullptr &&
         std::tie(report.session, report.tick) >
             std::tie(machine->relayed.session, machine->relayed.tick)) {
@@ -121,7 +121,7 @@
   ++activity_.reports;
   activity_.reported_tasks += report.tasks.size();
   if (gone_machines_.contains(report.machine)) return {};
-  Machine& machine = ledger_.machine(report.machine);
+  Machine& machine = cluster_.machine(report.machine);
   if (!newer(report, machine)) return {};
   // A session that was taken for over cannot speak again, but for reports that were held up.
   if (machine.silent && report.session == machine.session) return {};
@@ -144,7 +144,7 @@
   if (new_session) {
     // Its lease ran out although its reports came and were answered: the answers don't arrive.
     if (machine.heard && !machine.silent && now - machine.heard_at < settings_.lease_s / 2) {
-      suspect_deaf(machine);
+      suspect_unreachable(machine);
     }
     end_sessions(machine, report.session);
   }
@@ -190,12 +190,12 @@
   machine.zone = report.zone;
   machine.spot = report.spot;
   if (machine.type != report.type || machine.capacity.cpus == 0) {
-    ledger_.set_type(machine, report.type);
+    cluster_.set_type(machine, report.type);
   }
   // The worker refuses these from now on.
   std::erase_if(machine.launched,
                 [&](const auto& launch) { return launch.second < machine.token_seen; });
-  std::erase_if(machine.doubts, [&](const auto& doubt) {
+  std::erase_if(machine.uncertain_launches, [&](const auto& doubt) {
     // The same, or it has done with the answer that the launch was in.
     return doubt.second.token < machine.token_seen ||
            (doubt.second.answer_to != 0 && from == From::worker &&
@@ -214,7 +214,7 @@
   }
   const auto tasks = machine.tasks;  // a copy: what follows may change it
   for (const auto& id : tasks) {
-    Job* job = ledger_.job(id.job);
+    Job* job = cluster_.job(id.job);
     if (job == nullptr) continue;
     const auto it = job->live.find(id.task);
     if (it == job->live.end() || it->second.machine != machine.name ||
@@ -228,16 +228,16 @@
 
 void Leader::end_sessions(Machine& machine, std::uint64_t session) {
   const auto tasks = machine.tasks;
-  machine.doubts.clear();
+  machine.uncertain_launches.clear();
   machine.launched.clear();
   for (const auto& id : tasks) {
-    Job* job = ledger_.job(id.job);
+    Job* job = cluster_.job(id.job);
     if (job == nullptr) continue;
     const auto it = job->live.find(id.task);
     if (it == job->live.end() || it->second.session >= session) continue;
     if (it->second.stage == Placement::Stage::recording) {
       // Its record names a session that is over: nothing of it was sent. Decide anew.
-      ledger_.unplace(*job, id.task, clock_.now());
+      cluster_.unplace(*job, id.task, clock_.now());
       request_plan();
     } else {
       gone(*job, id.task, "machine " + machine.name + " began session " + std::to_string(session));
@@ -247,7 +247,7 @@
 
 void Leader::process_task(Machine& machine, const protocol::TaskReport& task, Commands& commands) {
   const Seconds now = clock_.now();
-  Job* job = ledger_.job(task.id.job);
+  Job* job = cluster_.job(task.id.job);
   Placement* placement = nullptr;
   if (job != nullptr) {
     const auto it = job->live.find(task.id.task);
@@ -261,11 +261,11 @@
     if (placement != nullptr) exited(machine, *job, task);
     // A result is kept on the worker until it is durable here. And after `forget`, a launch that
     // is still on its way would run the task once more.
-    job = ledger_.job(task.id.job);
+    job = cluster_.job(task.id.job);
     const bool durable = task.cause != ExitCause::done || job == nullptr ||
                          !job->unrecorded_done.contains(task.id.task);
-    if (const auto doubt = machine.doubts.find({task.id, task.attempt});
-        doubt != machine.doubts.end()) {
+    if (const auto doubt = machine.uncertain_launches.find({task.id, task.attempt});
+        doubt != machine.uncertain_launches.end()) {
       if (doubt->second.answer_to == 0) want_fence(doubt->second);
     } else if (durable && may_forget(machine, task)) {
       commands.push_back({Op::forget, task.id, task.attempt, 0});
@@ -289,7 +289,7 @@
   placement->inherited = false;
   placement->state = task.state;
   if (has_image) {
-    const MachineType* type = ledger_.type(machine.type);
+    const MachineType* type = cluster_.type(machine.type);
     machine.touch_image(job->spec.image, job->spec.image_gb, type ? type->cache_gb : 0, now);
   }
   if (task.state == TaskState::running) {
@@ -329,9 +329,9 @@
       machine.failures = 0;
       machine.failed_jobs.clear();
       if (const auto& p = job.live.at(task.id.task); p.running_since >= 0) {
-        ledger_.learn_run(job.spec, now - p.running_since);
+        cluster_.learn_run(job.spec, now - p.running_since);
       }
-      ledger_.finish(job, task.id.task, now);
+      cluster_.finish(job, task.id.task, now);
       sync(job);
       request_plan();
       return;
@@ -368,17 +368,17 @@
   }
   ++machine.failures;
   machine.failed_jobs.insert(job.id());
-  if (machine.failures < kMachineFailures || machine.suspect) return;
+  if (machine.failures < kMachineFailures || machine.quarantined) return;
   int evidence = 0;
   for (const auto& id : machine.failed_jobs) {
-    const Job* other = ledger_.job(id);
+    const Job* other = cluster_.job(id);
     if (other == nullptr) continue;
     if (other->done_count > 0) evidence += kEvidence;
     evidence += other->fails_everywhere() ? kFailsEverywhereWeight : kFailingJobWeight;
   }
   if (evidence < kEvidence) return;
   spdlog::info("machine {} is put aside: every task fails on it", machine.name);
-  machine.suspect = true;
+  machine.quarantined = true;
 }
 
 void Leader::back_off(Job& job) {
@@ -391,8 +391,8 @@
 void Leader::absent(Machine& machine, Job& job, Placement& placement, From from,
                     Commands& commands) {
   const auto key = std::make_pair(TaskId{job.id(), placement.task}, placement.attempt);
-  const auto doubt = machine.doubts.find(key);
-  const bool in_doubt = doubt != machine.doubts.end();
+  const auto doubt = machine.uncertain_launches.find(key);
+  const bool in_doubt = doubt != machine.uncertain_launches.end();
   if (placement.stopping || job.cancelled) {
     if (in_doubt) {
       // A launch may still arrive: a higher token closes the door, once the worker has seen it.
@@ -415,28 +415,29 @@
   // gone, by the answer to the stop, and was started by the late answer as well as elsewhere.
   if (from != From::worker) return;
   placement.stage = Placement::Stage::launched;
-  machine.doubts.try_emplace(key, Doubt{election_.token(), true, machine.tick});
+  machine.uncertain_launches.try_emplace(key,
+                                         UncertainLaunch{election_.token(), true, machine.tick});
   commands.push_back({Op::launch, key.first, placement.attempt, 0});
 }
 
 // A higher token closes the door on a launch in doubt once the worker has seen it. Raising it again
 // for a worker that has not seen the last one would help nobody.
-void Leader::want_fence(const Doubt& doubt) {
+void Leader::want_fence(const UncertainLaunch& doubt) {
   if (doubt.token >= election_.token()) fence_wanted_ = true;
 }
 
 // Nothing seems to reach this machine, though its reports come. Nothing more is placed there until
 // it has answered; see fleet_round for what becomes of it if it never does.
-void Leader::suspect_deaf(Machine& machine) {
-  if (machine.deaf_since >= 0) return;
-  machine.deaf_since = clock_.now();
+void Leader::suspect_unreachable(Machine& machine) {
+  if (machine.unreachable_since >= 0) return;
+  machine.unreachable_since = clock_.now();
   spdlog::info("machine {} reports, but does not seem to hear", machine.name);
 }
 
-void Leader::heard_back(Machine& machine) {
+void Leader::reached_again(Machine& machine) {
   machine.present = true;
-  if (machine.deaf_since < 0) return;
-  machine.deaf_since = -1;
+  if (machine.unreachable_since < 0) return;
+  machine.unreachable_since = -1;
   request_plan();
 }
 
@@ -445,7 +446,7 @@
   if (placement.stopping && placement.grace_s <= grace_s) return;
   placement.stopping = true;
   placement.grace_s = grace_s;
-  Machine* machine = ledger_.find_machine(placement.machine);
+  Machine* machine = cluster_.find_machine(placement.machine);
   if (machine == nullptr || machine->address.empty()) return;
   placement.stop_sent = now;
   queue_commands(placement.machine,
@@ -459,15 +460,15 @@
   std::map<std::string, Commands> by_machine;
   for (const auto task : tasks) {
     Placement& placement = job.live.at(task);
-    Machine* machine = ledger_.find_machine(placement.machine);
+    Machine* machine = cluster_.find_machine(placement.machine);
     if (machine == nullptr || machine->session != placement.session || machine->silent) {
       // Its machine's session ended while the record was written; nothing was sent.
-      ledger_.unplace(job, task, clock_.now());
+      cluster_.unplace(job, task, clock_.now());
       request_plan();
       continue;
     }
     placement.stage = Placement::Stage::launched;
-    machine->doubts[{{job.id(), task}, placement.attempt}] = {election_.token(), true};
+    machine->uncertain_launches[{{job.id(), task}, placement.attempt}] = {election_.token(), true};
     machine->launched[{{job.id(), task}, placement.attempt}] = election_.token();
     by_machine[placement.machine].push_back({Op::launch, {job.id(), task}, placement.attempt, 0});
   }
@@ -475,7 +476,7 @@
 }
 
 void Leader::queue_commands(const std::string& name, const Commands& commands) {
-  const Machine& machine = *ledger_.find_machine(name);
+  const Machine& machine = *cluster_.find_machine(name);
   QueuedCommands& queued = queued_commands_[name];
   if (queued.session != machine.session) queued = {machine.session, {}};
   queued.commands.insert(queued.commands.end(), commands.begin(), commands.end());
@@ -491,7 +492,7 @@
   const auto queued = std::move(queued_commands_);
   queued_commands_.clear();
   for (const auto& [name, waiting] : queued) {
-    Machine* machine = ledger_.find_machine(name);
+    Machine* machine = cluster_.find_machine(name);
     // What was meant for a session that is over must not reach the next one.
     if (machine == nullptr || machine->session != waiting.session) continue;
     Commands commands = waiting.commands;
@@ -500,7 +501,7 @@
       if (command.op != Op::launch) continue;
       // It goes under the present token, which may have been raised since it was queued.
       const auto key = std::make_pair(command.id, command.attempt);
-      machine->doubts[key] = {election_.token(), true};
+      machine->uncertain_launches[key] = {election_.token(), true};
       machine->launched[key] = election_.token();
     }
     if (!commands.empty()) send_commands(name, commands);
@@ -515,7 +516,7 @@
   const auto stale = [&](const Command& command) {
     if (command.op != Op::launch) return false;
     if (!election_.leads()) return true;
-    const Job* job = ledger_.job(command.id.job);
+    const Job* job = cluster_.job(command.id.job);
     if (job == nullptr) return true;
     const auto it = job->live.find(command.id.task);
     return it == job->live.end() || it->second.machine != machine.name ||
@@ -523,14 +524,14 @@
   };
   for (const auto& command : commands) {
     if (!stale(command)) continue;
-    machine.doubts.erase({command.id, command.attempt});
+    machine.uncertain_launches.erase({command.id, command.attempt});
     machine.launched.erase({command.id, command.attempt});
   }
   std::erase_if(commands, stale);
 }
 
 void Leader::send_commands(const std::string& name, const Commands& commands) {
-  const Machine& machine = *ledger_.find_machine(name);
+  const Machine& machine = *cluster_.find_machine(name);
   ++activity_.direct_calls;
   transport::Request request{
       "POST", protocol::kCommandsPath,
@@ -542,17 +543,17 @@
       }));
 }
 
-void Leader::settle_doubts(Machine& machine, const Commands& commands, transport::Outcome outcome,
-                           int status) {
+void Leader::settle_launches(Machine& machine, const Commands& commands, transport::Outcome outcome,
+                             int status) {
   const bool settled = outcome == transport::Outcome::not_sent ||
                        (outcome == transport::Outcome::answered &&
                         (status == 200 || status == 409 || status == 400));
   for (const auto& command : commands) {
     if (command.op != Op::launch) continue;
-    const auto doubt = machine.doubts.find({command.id, command.attempt});
-    if (doubt == machine.doubts.end()) continue;
+    const auto doubt = machine.uncertain_launches.find({command.id, command.attempt});
+    if (doubt == machine.uncertain_launches.end()) continue;
     if (settled) {
-      machine.doubts.erase(doubt);
+      machine.uncertain_launches.erase(doubt);
     } else {
       doubt->second.pending = false;
     }
@@ -561,17 +562,17 @@
 
 void Leader::commands_answered(const std::string& name, const Commands& commands,
                                transport::Outcome outcome, const transport::Response& response) {
-  Machine* machine = ledger_.find_machine(name);
+  Machine* machine = cluster_.find_machine(name);
   if (machine == nullptr) return;
-  settle_doubts(*machine, commands, outcome, response.status);
+  settle_launches(*machine, commands, outcome, response.status);
   const bool answered =
       outcome == transport::Outcome::answered && (response.status == 200 || response.status == 409);
   if (!answered) {
     spdlog::debug("machine {} gave no answer to a command", name);
-    if (machine->heard_at > clock_.now() - 2 * settings_.report_s) suspect_deaf(*machine);
+    if (machine->heard_at > clock_.now() - 2 * settings_.report_s) suspect_unreachable(*machine);
     return;
   }
-  heard_back(*machine);
+  reached_again(*machine);
   try {
     const auto report = protocol::parse_report(response.body);
     if (report.token > election_.token()) {
@@ -593,7 +594,7 @@
                guarded([this, name = machine.name](transport::Outcome outcome,
                                                    transport::Response response) {
                  if (outcome != transport::Outcome::answered || response.status != 200) return;
-                 if (Machine* there = ledger_.find_machine(name)) heard_back(*there);
+                 if (Machine* there = cluster_.find_machine(name)) reached_again(*there);
                  try {
                    const auto report = protocol::parse_report(response.body);
                    if (report.token > election_.token()) {
@@ -614,7 +615,7 @@
   spdlog::info("machine {} will be taken in {:.1f} s", machine.name, notice_s);
   const auto tasks = machine.tasks;
   for (const auto& id : tasks) {
-    Job* job = ledger_.job(id.job);
+    Job* job = cluster_.job(id.job);
     if (job == nullptr) continue;
     const auto it = job->live.find(id.task);
     if (it == job->live.end() || it->second.stage != Placement::Stage::held) continue;
@@ -632,18 +633,18 @@
 void Leader::all_gone(Machine& machine, const std::string& why) {
   const auto tasks = machine.tasks;  // a copy: what follows changes it
   for (const auto& id : tasks) {
-    Job* job = ledger_.job(id.job);
+    Job* job = cluster_.job(id.job);
     if (job != nullptr && job->live.contains(id.task)) gone(*job, id.task, why);
   }
 }
 
 void Leader::machine_gone(const std::string& name, const std::string& why) {
-  Machine* machine = ledger_.find_machine(name);
+  Machine* machine = cluster_.find_machine(name);
   if (machine == nullptr) return;
   spdlog::info("machine {} is gone: {}", name, why);
   gone_machines_[name] = clock_.now();
   all_gone(*machine, "machine " + name + " is gone");
-  ledger_.remove_machine(name);
+  cluster_.remove_machine(name);
   garbage_.push_back(storage::kMachinePrefix + name);
   drop_garbage();
 }
--- a/src/coordination/node.cpp
+++ b/src/coordination/node.cpp
@@ -46,15 +46,15 @@
                    take_share(false);
                    leader_.end();
                  }}),
-      front_(clock, state_, catalog_, settings),
+      user_api_(clock, state_, catalog_, settings),
       leader_(clock, client, state_, election_, catalog_, settings),
       relay_(clock, client, settings),
       cancellations_(clock, client, settings) {
-  front_.on_cancelled = [this](const std::string& id) {
+  user_api_.on_cancelled = [this](const std::string& id) {
     leader_.cancelled_elsewhere(id);
     cancellations_.tell(id);
   };
-  front_.healthy = [this] { return healthy(); };
+  user_api_.healthy = [this] { return healthy(); };
   catalog_.on_change = [this] { leader_.types_changed(); };
 }
 
@@ -96,16 +96,17 @@
   // What this node cannot ask the state service another one perhaps can. All of the users' calls
   // may be repeated, so it does no harm if this node's own try is carried out after all.
   auto kept = std::make_shared<transport::Request>(request);
-  front_.handle(std::move(request), [this, kept,
-                                     respond = std::move(respond)](transport::Response response) {
-    const PeerSettings* peer =
-        response.status == 503 && kept->target != protocol::kHealthPath ? serving_peer() : nullptr;
-    if (peer == nullptr || kept->body.size() > transport::kBodyLimit / 4) {
-      respond(std::move(response));
-    } else {
-      forward(*peer, *kept, std::move(response), respond);
-    }
-  });
+  user_api_.handle(
+      std::move(request), [this, kept, respond = std::move(respond)](transport::Response response) {
+        const PeerSettings* peer = response.status == 503 && kept->target != protocol::kHealthPath
+                                       ? serving_peer()
+                                       : nullptr;
+        if (peer == nullptr || kept->body.size() > transport::kBodyLimit / 4) {
+          respond(std::move(response));
+        } else {
+          forward(*peer, *kept, std::move(response), respond);
+        }
+      });
 }
 
 const PeerSettings* Node::serving_peer() {
@@ -145,14 +146,14 @@
 void Node::forwarded(const std::string& body, transport::Respond respond) {
   const auto message = protocol::parse_object(body);
   // Answered here or not at all: it is not sent on once more.
-  front_.handle({protocol::text(message, "method"), protocol::text(message, "target"),
-                 protocol::text(message, "body")},
-                [respond = std::move(respond)](const transport::Response& response) {
-                  const protocol::Json answer{{"status", response.status},
-                                              {"body", response.body},
-                                              {"retry_after", response.retry_after_s}};
-                  respond({200, answer.dump(), 0});
-                });
+  user_api_.handle({protocol::text(message, "method"), protocol::text(message, "target"),
+                    protocol::text(message, "body")},
+                   [respond = std::move(respond)](const transport::Response& response) {
+                     const protocol::Json answer{{"status", response.status},
+                                                 {"body", response.body},
+                                                 {"retry_after", response.retry_after_s}};
+                     respond({200, answer.dump(), 0});
+                   });
 }
 
 void Node::checkin(std::string body, transport::Respond respond) {
@@ -189,7 +190,7 @@
     // Peers must know at once that workers stay with them from now on, or they would send on to
     // this node those that it sends to them. Past its lease it has nothing to tell, and would
     // otherwise tell it again with each report.
-    if (election_.leads() && leader_.homes().spread() != told_spread_) tell_peers_now();
+    if (election_.leads() && leader_.relay_assignment().spread() != told_spread_) tell_peers_now();
     return;
   }
   aim_relay();
@@ -273,7 +274,7 @@
   // Whom this node relays to, if it reaches them.
   if (relay_.works()) message["relays_to"] = relay_.aimed_at();
   if (election_.leads()) {
-    spread_ = told_spread_ = leader_.homes().spread();
+    spread_ = told_spread_ = leader_.relay_assignment().spread();
     message["spread"] = spread_;
     auto progress = leader_.progress();
     protocol::Json jobs = protocol::Json::object();
@@ -283,7 +284,7 @@
       if (jobs.size() >= transport::kBodyLimit / 64) break;
     }
     message["jobs"] = std::move(jobs);
-    front_.set_progress(std::move(progress));
+    user_api_.set_progress(std::move(progress));
   }
   const std::string body = message.dump();
   for (const auto& peer : settings_.peers) {
@@ -328,7 +329,7 @@
     }
     election_.superseded(token);
     if (const auto* to = protocol::find(message, "relays_to"); to != nullptr && election_.holds()) {
-      if (*to == settings_.member) leader_.homes().relays(member, clock_.now());
+      if (*to == settings_.member) leader_.relay_assignment().relays(member, clock_.now());
     }
     if (protocol::find(message, "spread") != nullptr && !election_.leads() &&
         token >= told_token_) {
@@ -338,11 +339,11 @@
       told_at_ = clock_.now();
     }
     if (const auto* jobs = protocol::find(message, "jobs"); jobs != nullptr && jobs->is_object()) {
-      std::unordered_map<std::string, Front::Progress> progress;
+      std::unordered_map<std::string, UserApi::Progress> progress;
       for (const auto& [id, p] : jobs->items()) {
         progress[id] = {p.at(0).get<std::uint32_t>(), p.at(1).get<std::uint32_t>()};
       }
-      if (!election_.leads()) front_.set_progress(std::move(progress));
+      if (!election_.leads()) user_api_.set_progress(std::move(progress));
     }
     respond({200, "{}", 0});
   } catch (const std::exception& error) {
--- a/src/coordination/node.hpp
+++ b/src/coordination/node.hpp
@@ -4,9 +4,9 @@
 #include "coordination/cancellations.hpp"
 #include "coordination/catalog.hpp"
 #include "coordination/election.hpp"
-#include "coordination/front.hpp"
 #include "coordination/leader.hpp"
 #include "coordination/relay.hpp"
+#include "coordination/user_api.hpp"
 #include "settings.hpp"
 #include "storage/state_client.hpp"
 #include "transport/http.hpp"
@@ -24,7 +24,7 @@
   void handle_peer(transport::Request request, transport::Respond respond);
 
   const Election& election() const { return election_; }
-  // Whether workers report to all nodes, as far as this one knows; see Homes.
+  // Whether workers report to all nodes, as far as this one knows; see RelayAssignment.
   bool spreads_workers() const { return spread_; }
 
  private:
@@ -59,7 +59,7 @@
   storage::StateClient state_;
   Catalog catalog_;
   Election election_;
-  Front front_;
+  UserApi user_api_;
   Leader leader_;
   Relay relay_;
   Cancellations cancellations_;
@@ -67,7 +67,7 @@
   std::string told_leader_;
   std::uint64_t told_token_ = 0;
   Seconds told_at_ = -1;
-  bool spread_ = false;       // as the leader last said, see Homes
+  bool spread_ = false;       // as the leader last said, see RelayAssignment
   bool told_spread_ = false;  // what this node last said of it, when leading
   // When each peer last said that the state service answers it.
   std::map<std::string, Seconds> peer_serves_;
--- a/src/coordination/placement.cpp
+++ b/src/coordination/placement.cpp
@@ -36,7 +36,7 @@
   }
   // All in one zone, none chosen yet: the zone that takes the most, and of those the cheapest.
   Zoned best;
-  for (const auto& zone : view_.ledger().settings().zones) {
+  for (const auto& zone : view_.cluster().settings().zones) {
     Zoned next = choose_in({job, policy, zone}, tasks, {});
     const bool better = next.choice.size() > best.choice.size() ||
                         (next.choice.size() == best.choice.size() && next.cost < best.cost);
@@ -99,14 +99,14 @@
   if (!machine.room.fits(needs_of(request.job.spec))) return kImpossible;
   const double lost = displaced(request, machine);
   if (lost < 0) return kImpossible;
-  const Seconds report = view_.ledger().settings().report_s;
+  const Seconds report = view_.cluster().settings().report_s;
   return cost(request.job, machine) + lost * report * kDisplacedReports;
 }
 
 // What placing a task here costs, in seconds of somebody's time.
 double MachineChooser::cost(const Job& job, MachineView& machine) const {
   const MachinePool& pool = view_.pool_of(machine);
-  const Seconds report = view_.ledger().settings().report_s;
+  const Seconds report = view_.cluster().settings().report_s;
   double out = view_.image_wait(job, machine);
   // Work that needs no GPU leaves the machines that have some to work that does, unless it would
   // wait for its image elsewhere.
--- a/src/coordination/planner.cpp
+++ b/src/coordination/planner.cpp
@@ -15,17 +15,17 @@
 // One pass over the waiting jobs, most important first.
 class SchedulingCycle {
  public:
-  SchedulingCycle(Ledger& ledger, GangHolds& holds, Seconds now, const PlanLimits& limits)
+  SchedulingCycle(ClusterState& cluster, GangHolds& holds, Seconds now, const PlanLimits& limits)
       : holds_(holds),
         now_(now),
         limits_(limits),
-        view_(ledger, holds, now),
+        view_(cluster, holds, now),
         chooser_(view_),
         preemptor_(view_, holds) {}
 
   Plan run() {
     Plan out;
-    const auto jobs = order_of_work(view_.ledger(), now_, limits_.start_bound_s);
+    const auto jobs = order_of_work(view_.cluster(), now_, limits_.start_bound_s);
     for (size_t i = 0; i < jobs.size(); ++i) {
       Job& job = *jobs[i];
       // Urgent work comes first in every cycle, so that its claims stand and what arrives
@@ -44,9 +44,9 @@
 
  private:
   void schedule(Job& job, Plan& out) {
-    const Rise rise = rise_of(view_.ledger(), job, now_, limits_.start_bound_s);
+    const Aging rise = aging_of(view_.cluster(), job, now_, limits_.start_bound_s);
     const bool low = job.spec.priority == protocol::Priority::low;
-    if (limits_.defers_low && low && rise == Rise::none) return;
+    if (limits_.defers_low && low && rise == Aging::none) return;
     const PlacementPolicy policy = policy_of(job, rise);
     const auto reserved_before =
         policy.ignores_reserves ? protocol::Priority::production : policy.priority;
@@ -66,13 +66,13 @@
     if (rights.any()) preemptor_.make_room(job, rights, out.preemptions);
   }
 
-  PlacementPolicy policy_of(const Job& job, Rise rise) const {
+  PlacementPolicy policy_of(const Job& job, Aging rise) const {
     const Seconds waits_since = std::max(job.submitted, job.last_placed_at);
-    const Seconds lease = view_.ledger().settings().lease_s;
+    const Seconds lease = view_.cluster().settings().lease_s;
     PlacementPolicy out;
-    out.priority = rise == Rise::urgent ? std::min(job.spec.priority, protocol::Priority::high)
-                                        : job.spec.priority;
-    out.ignores_reserves = rise != Rise::none || now_ - waits_since > lease * kReserveLeases;
+    out.priority = rise == Aging::urgent ? std::min(job.spec.priority, protocol::Priority::high)
+                                         : job.spec.priority;
+    out.ignores_reserves = rise != Aging::none || now_ - waits_since > lease * kReserveLeases;
     return out;
   }
 
@@ -94,11 +94,11 @@
          policy.ignores_reserves});
   }
 
-  void place_array(Job& job, std::uint32_t allowed, Rise rise, const PlacementPolicy& policy,
+  void place_array(Job& job, std::uint32_t allowed, Aging rise, const PlacementPolicy& policy,
                    Assignment& out) {
     // What rises does so to begin: one task of an array will do, and the rest of it keeps its
     // place. Of one that fails everywhere one task tells whether that is still so.
-    const bool one_task = rise != Rise::none || job.fails_everywhere();
+    const bool one_task = rise != Aging::none || job.fails_everywhere();
     const auto tasks = waiting_tasks(job, one_task ? 1 : allowed);
     const Choice choice = chooser_.choose(job, tasks, policy);
     if (choice.size() < tasks.size()) no_room_for(job, policy);
@@ -109,14 +109,14 @@
     for (const auto& [machine, task] : choice) out.tasks.emplace_back(task, machine->machine->name);
   }
 
-  void place_gang(Job& job, std::uint32_t allowed, Rise rise, const PlacementPolicy& policy,
+  void place_gang(Job& job, std::uint32_t allowed, Aging rise, const PlacementPolicy& policy,
                   Assignment& out) {
     const std::uint32_t wanted = job.waiting();
     if (wanted == 0) return;
-    const bool risen = rise != Rise::none;
+    const bool aged = rise != Aging::none;
     if (wanted > allowed) {
       // Others of its team must not take for ever, piece by piece, what it needs at once.
-      if (risen && !preemptor_.may_stop_lower(job)) view_.take_limit(job, wanted);
+      if (aged && !preemptor_.may_stop_lower(job)) view_.take_limit(job, wanted);
       return;
     }
     const GangHolds::Hold* own = holds_.find(job.id());
@@ -124,7 +124,7 @@
     // Its own holds count as room for it alone.
     if (own != nullptr) view_.free_held(*own);
     // One that has waited long keeps what it has found.
-    const Seconds expires = own != nullptr && !risen ? own->expires : now_ + limits_.hold_s;
+    const Seconds expires = own != nullptr && !aged ? own->expires : now_ + limits_.hold_s;
     const Choice choice = chooser_.choose(job, waiting_tasks(job, wanted), policy);
     holds_.release(job.id());
     if (choice.size() == wanted) {
@@ -172,12 +172,12 @@
   return out;
 }
 
-Plan plan(Ledger& ledger, GangHolds& holds, Seconds now, const PlanLimits& limits) {
+Plan plan(ClusterState& cluster, GangHolds& holds, Seconds now, const PlanLimits& limits) {
   for (const auto& id : holds.expire(now)) {
     // An expired gang queues again and reserves anew after the others have had their turn.
-    if (Job* job = ledger.job(id)) job->retry_at = now + limits.hold_s / 4;
+    if (Job* job = cluster.job(id)) job->retry_at = now + limits.hold_s / 4;
   }
-  return SchedulingCycle(ledger, holds, now, limits).run();
+  return SchedulingCycle(cluster, holds, now, limits).run();
 }
 
 }  // namespace larkroad::coordination
--- a/src/coordination/planner.hpp
+++ b/src/coordination/planner.hpp
@@ -1,14 +1,14 @@
-// Which task goes where. Decisions are functions of the ledger, the holds and the time.
+// Which task goes where. Decisions are functions of the cluster, the holds and the time.
 #pragma once
 
 #include <functional>
 #include <string>
 #include <vector>
 
+#include "coordination/cluster_state.hpp"
 #include "coordination/gang_holds.hpp"
-#include "coordination/ledger.hpp"
 #include "coordination/preemption.hpp"
-#include "coordination/triage.hpp"
+#include "coordination/work_order.hpp"
 
 namespace larkroad::coordination {
 
@@ -34,8 +34,8 @@
   size_t looked_at = 0;   // machines, once for each job that considered them: what a cycle costs
 };
 
-// Decides one scheduling cycle. Does not change the ledger: the caller places what is assigned.
-Plan plan(Ledger& ledger, GangHolds& holds, Seconds now, const PlanLimits& limits);
+// Decides one scheduling cycle. Does not change the cluster: the caller places what is assigned.
+Plan plan(ClusterState& cluster, GangHolds& holds, Seconds now, const PlanLimits& limits);
 
 // Tasks of a job that want a place, at most `most`, in the order in which they are placed.
 std::vector<std::uint32_t> waiting_tasks(const Job& job, std::uint32_t most);
--- a/src/coordination/preemption.cpp
+++ b/src/coordination/preemption.cpp
@@ -5,7 +5,7 @@
 #include <functional>
 #include <tuple>
 
-#include "coordination/triage.hpp"
+#include "coordination/work_order.hpp"
 
 namespace larkroad::coordination {
 namespace {
@@ -30,8 +30,8 @@
 }
 
 // Whether the job is past half the time that its next aim leaves it to start.
-bool pressed(const Ledger& ledger, const Job& job, Seconds now) {
-  const auto start = next_start(ledger, job, now);
+bool pressed(const ClusterState& cluster, const Job& job, Seconds now) {
+  const auto start = next_start(cluster, job, now);
   return start && now - job.submitted > (*start - job.submitted) / 2;
 }
 
@@ -42,23 +42,23 @@
          (!others.by_guarantee || (by_guarantee && team == others.team));
 }
 
-std::optional<Seconds> next_start(const Ledger& ledger, const Job& job, Seconds now) {
-  const Seconds run = ledger.expected_run(job.spec);
-  for (const Seconds due : due_times(ledger, job)) {
+std::optional<Seconds> next_start(const ClusterState& cluster, const Job& job, Seconds now) {
+  const Seconds run = cluster.expected_run(job.spec);
+  for (const Seconds due : due_times(cluster, job)) {
     if (due - run > now) return due - run;
   }
   return std::nullopt;
 }
 
 bool Preemptor::is_guaranteed(const Job& job) {
-  if (!guaranteed_) guaranteed_ = within_guarantee(view_.ledger());
+  if (!guaranteed_) guaranteed_ = within_guarantee(view_.cluster());
   return guaranteed_->contains(job.id());
 }
 
 bool Preemptor::may_stop_lower(const Job& job) const {
   if (job.spec.priority >= protocol::Priority::low) return false;
   return job.spec.priority != protocol::Priority::normal ||
-         pressed(view_.ledger(), job, view_.now());
+         pressed(view_.cluster(), job, view_.now());
 }
 
 PreemptionRights Preemptor::rights_of(const Job& job) {
@@ -70,15 +70,15 @@
   if (surveyed_) return;
   surveyed_ = true;
   size_t most = 0;
-  for (const auto& [id, job] : view_.ledger().jobs()) most += job->live.size();
+  for (const auto& [id, job] : view_.cluster().jobs()) most += job->live.size();
   candidates_.reserve(most);  // pointers into it must last
-  for (const auto& [id, job] : view_.ledger().jobs()) add_candidates(*job);
+  for (const auto& [id, job] : view_.cluster().jobs()) add_candidates(*job);
 }
 
 void Preemptor::add_candidates(const Job& job) {
   const Resources need = needs_of(job.spec);
   const bool guaranteed = !job.live.empty() && is_guaranteed(job);
-  const bool guest = is_guest(view_.ledger().settings(), job.spec.team);
+  const bool guest = is_guest(view_.cluster().settings(), job.spec.team);
   const auto priority = static_cast<size_t>(job.standing());
   for (const auto& [task, placement] : job.live) {
     MachineView* machine = view_.find(placement.machine);
@@ -120,7 +120,7 @@
   const Placement& placement = *candidate.placement;
   const Seconds ran = placement.running_since < 0 ? 0 : view_.now() - placement.running_since;
   const Seconds since = spec.checkpoint_s > 0 ? std::fmod(ran, spec.checkpoint_s) : ran;
-  const Seconds report = view_.ledger().settings().report_s;
+  const Seconds report = view_.cluster().settings().report_s;
   const bool save =
       spec.checkpoint_s > 0 && since > spec.save_s && spec.save_s + report / 4 <= search.time_left;
   const double members = spec.gang ? static_cast<double>(candidate.owner->live.size()) : 1;
@@ -135,7 +135,7 @@
   for (Candidate* candidate : from) {
     if (may_stop(search, *candidate)) out.push_back(victim(search, *candidate));
   }
-  const Seconds report = view_.ledger().settings().report_s;
+  const Seconds report = view_.cluster().settings().report_s;
   const auto key = [report](const Victim& v) {
     const Job& owner = *v.candidate->owner;
     return std::make_tuple(-static_cast<int>(owner.standing()), std::floor(v.loss / report),
@@ -327,7 +327,7 @@
   survey();
   const std::uint32_t wanted = job.spec.gang ? job.waiting() : 1;
   if (wanted == 0) return;
-  const Seconds start = next_start(view_.ledger(), job, view_.now()).value_or(kNoLimit);
+  const Seconds start = next_start(view_.cluster(), job, view_.now()).value_or(kNoLimit);
   const Search search{
       job, rights, needs_of(job.spec), wanted, start - view_.now(), holds_.find(job.id())};
   const auto allowed = view_.allowed_pools(job.spec);
@@ -342,7 +342,7 @@
     return;
   }
   std::vector<std::string> zones{""};
-  if (job.spec.one_zone) zones = view_.ledger().settings().zones;
+  if (job.spec.one_zone) zones = view_.cluster().settings().zones;
   if (job.spec.one_zone && !live->empty()) zones = {live->begin()->first};
   for (const auto& zone : zones) {
     // Nothing is stopped in a zone that in the end does not take the job.
--- a/src/coordination/preemption.hpp
+++ b/src/coordination/preemption.hpp
@@ -46,7 +46,7 @@
 };
 
 // When the job must start for its next aim that can still be met; none: there is none.
-std::optional<Seconds> next_start(const Ledger& ledger, const Job& job, Seconds now);
+std::optional<Seconds> next_start(const ClusterState& cluster, const Job& job, Seconds now);
 
 class Preemptor {
  public:
--- a/src/coordination/homes.cpp
+++ b/src/coordination/relay_assignment.cpp
@@ -1,4 +1,4 @@
-#include "coordination/homes.hpp"
+#include "coordination/relay_assignment.hpp"
 
 #include <algorithm>
 #include <tuple>
@@ -20,29 +20,29 @@
 
 }  // namespace
 
-Homes::Homes(const Settings& settings)
+RelayAssignment::RelayAssignment(const Settings& settings)
     : settings_(settings),
       own_share_(static_cast<size_t>(settings.sockets * kLeaderSockets)),
       relay_share_(static_cast<size_t>(settings.sockets * kRelaySockets)) {}
 
-void Homes::clear(bool spread) {
+void RelayAssignment::clear(bool spread) {
   spread_ = spread;
-  seats_.clear();
+  routes_.clear();
   counts_.clear();
   relays_at_.clear();
 }
 
-bool Homes::recent(Seconds when, Seconds now) const {
+bool RelayAssignment::recent(Seconds when, Seconds now) const {
   return when >= 0 && now - when < settings_.report_s * kRecentReports;
 }
 
-size_t Homes::at(const std::string& via) const {
+size_t RelayAssignment::at(const std::string& via) const {
   const auto it = counts_.find(via);
   return it == counts_.end() ? 0 : it->second;
 }
 
-void Homes::reported(const std::string& machine, const std::string& via, Seconds now) {
-  Seat& seat = seats_[machine];
+void RelayAssignment::reported(const std::string& machine, const std::string& via, Seconds now) {
+  Route& seat = routes_[machine];
   if (seat.via != via || !recent(seat.heard_at, now)) {
     if (recent(seat.heard_at, now) && counts_[seat.via] > 0) --counts_[seat.via];
     ++counts_[via];
@@ -52,9 +52,10 @@
   if (counts_[via] > share(via)) spread_ = true;
 }
 
-std::optional<std::string> Homes::elsewhere(const std::string& machine, const std::string& zone,
-                                            const std::string& via, Seconds now) {
-  Seat& seat = seats_[machine];
+std::optional<std::string> RelayAssignment::elsewhere(const std::string& machine,
+                                                      const std::string& zone,
+                                                      const std::string& via, Seconds now) {
+  Route& seat = routes_[machine];
   const bool seated = seat.via == via && recent(seat.heard_at, now);
   if (at(via) + (seated ? 0 : 1) <= share(via)) return std::nullopt;
   // One that comes back from where it was sent is served, so that nobody is sent in circles.
@@ -79,12 +80,12 @@
   return best->member;
 }
 
-void Homes::count(std::optional<size_t> machines, Seconds now) {
+void RelayAssignment::count(std::optional<size_t> machines, Seconds now) {
   counts_.clear();
-  std::erase_if(seats_, [&](const auto& entry) {
+  std::erase_if(routes_, [&](const auto& entry) {
     return !recent(std::max(entry.second.heard_at, entry.second.sent_on_at), now);
   });
-  for (const auto& [machine, seat] : seats_) {
+  for (const auto& [machine, seat] : routes_) {
     if (recent(seat.heard_at, now)) ++counts_[seat.via];
   }
   if (!machines) return;
--- a/src/coordination/homes.hpp
+++ b/src/coordination/relay_assignment.hpp
@@ -14,9 +14,9 @@
 
 using transport::Seconds;
 
-class Homes {
+class RelayAssignment {
  public:
-  explicit Homes(const Settings& settings);
+  explicit RelayAssignment(const Settings& settings);
   // `spread`: whether the leader before this one could not hold them all.
   void clear(bool spread);
 
@@ -36,7 +36,7 @@
   size_t at(const std::string& via) const;
 
  private:
-  struct Seat {
+  struct Route {
     std::string via;
     Seconds heard_at = -1;
     Seconds sent_on_at = -1;
@@ -47,7 +47,7 @@
   size_t own_share_;
   size_t relay_share_;
   bool spread_ = false;
-  std::unordered_map<std::string, Seat> seats_;
+  std::unordered_map<std::string, Route> routes_;
   std::map<std::string, size_t> counts_;
   std::map<std::string, Seconds> relays_at_;
 };
--- a/src/coordination/front.cpp
+++ b/src/coordination/user_api.cpp
@@ -1,8 +1,8 @@
-#include "coordination/front.hpp"
+#include "coordination/user_api.hpp"
 
 #include <algorithm>
 
-#include "coordination/ledger.hpp"
+#include "coordination/cluster_state.hpp"
 #include "log.hpp"
 
 namespace larkroad::coordination {
@@ -42,7 +42,7 @@
   return "";
 }
 
-void Front::handle(transport::Request request, Respond respond) {
+void UserApi::handle(transport::Request request, Respond respond) {
   const auto target = protocol::route_user_call(request.method, request.target);
   if (target.call == protocol::UserCall::none) {
     respond({404, protocol::encode_error("no such path"), 0});
@@ -70,12 +70,12 @@
   }
 }
 
-void Front::busy(const Respond& respond) {
+void UserApi::busy(const Respond& respond) {
   respond(
       {503, protocol::encode_error("the state service cannot be asked at present"), kRetryAfter});
 }
 
-void Front::remember(const std::string& id, const storage::FinishedRecord& record) {
+void UserApi::remember(const std::string& id, const storage::FinishedRecord& record) {
   if (!finished_.emplace(id, record).second) return;
   finished_order_.push_back(id);
   if (finished_order_.size() > kFinishedKept) {
@@ -84,8 +84,8 @@
   }
 }
 
-bool Front::known_without_reading(const std::string& id,
-                                  const std::function<void(const Known&)>& done) {
+bool UserApi::known_without_reading(const std::string& id,
+                                    const std::function<void(const Known&)>& done) {
   Known known;
   if (const auto it = finished_.find(id); it != finished_.end()) {
     known.status = Status::ok;
@@ -102,7 +102,7 @@
   return true;
 }
 
-JobState Front::state_of(const std::string& id, bool cancelled) const {
+JobState UserApi::state_of(const std::string& id, bool cancelled) const {
   if (cancelled) return JobState::cancelled;
   const auto progress = progress_.find(id);
   return progress != progress_.end() && progress->second.running > 0 ? JobState::running
@@ -111,7 +111,7 @@
 
 // A job's record moves from the one key to the other in a single transaction, so reading the one
 // and then the other cannot miss a job that was there before the first read.
-void Front::look_up(const std::string& id, std::function<void(const Known&)> done) {
+void UserApi::look_up(const std::string& id, std::function<void(const Known&)> done) {
   if (known_without_reading(id, done)) return;
   state_.get(
       storage::job_key(id),
@@ -137,7 +137,7 @@
       storage::Use::user);
 }
 
-void Front::look_up_shared(const std::string& id, std::function<void(const Known&)> done) {
+void UserApi::look_up_shared(const std::string& id, std::function<void(const Known&)> done) {
   if (known_without_reading(id, done)) return;
   view_.fresh([this, id, done = std::move(done)](Status status) {
     const auto* seen = status == Status::ok ? view_.find(id) : nullptr;
@@ -152,7 +152,7 @@
   });
 }
 
-void Front::look_up_finished(const std::string& id, std::function<void(const Known&)> done) {
+void UserApi::look_up_finished(const std::string& id, std::function<void(const Known&)> done) {
   state_.get(
       storage::finished_key(id),
       [this, id, done = std::move(done)](Status status, storage::Entry entry) {
@@ -169,11 +169,11 @@
       storage::Use::user);
 }
 
-void Front::answer_known(const std::string& id, const Known& known, const Respond& respond) {
+void UserApi::answer_known(const std::string& id, const Known& known, const Respond& respond) {
   respond({200, protocol::encode_job_state(id, known.state), 0});
 }
 
-void Front::submit(const std::string& body, Respond respond) {
+void UserApi::submit(const std::string& body, Respond respond) {
   protocol::JobSpec spec;
   std::string id;
   int refusal = 0;
@@ -223,7 +223,7 @@
   accept(spec, clock_.now() + kAnswerWithin, std::move(respond));
 }
 
-void Front::accept(const protocol::JobSpec& spec, Seconds until, Respond respond) {
+void UserApi::accept(const protocol::JobSpec& spec, Seconds until, Respond respond) {
   if (finished_.contains(spec.id)) {
     look_up(spec.id, [&](const Known& known) { answer_known(spec.id, known, respond); });
     return;
@@ -261,7 +261,7 @@
       storage::Use::user);
 }
 
-void Front::query(const std::string& id, Respond respond) {
+void UserApi::query(const std::string& id, Respond respond) {
   look_up_shared(id, [this, id, respond = std::move(respond)](const Known& known) {
     if (known.status == Status::missing) {
       respond({404, protocol::encode_error("no such job"), 0});
@@ -283,7 +283,7 @@
   });
 }
 
-void Front::cancel(const std::string& id, Seconds until, Respond respond) {
+void UserApi::cancel(const std::string& id, Seconds until, Respond respond) {
   look_up(id, [this, id, until, respond = std::move(respond)](const Known& known) {
     if (known.status == Status::missing) {
       respond({404, protocol::encode_error("no such job"), 0});
--- a/src/coordination/front.hpp
+++ b/src/coordination/user_api.hpp
@@ -19,10 +19,10 @@
 std::string never_runnable(const protocol::JobSpec& spec, const Settings& settings,
                            const std::vector<protocol::MachineType>& types);
 
-class Front {
+class UserApi {
  public:
-  Front(transport::Clock& clock, storage::StateClient& state, const Catalog& catalog,
-        const Settings& settings)
+  UserApi(transport::Clock& clock, storage::StateClient& state, const Catalog& catalog,
+          const Settings& settings)
       : clock_(clock),
         state_(state),
         catalog_(catalog),
--- a/src/coordination/triage.cpp
+++ b/src/coordination/work_order.cpp
@@ -1,4 +1,4 @@
-#include "coordination/triage.hpp"
+#include "coordination/work_order.hpp"
 
 #include <algorithm>
 #include <array>
@@ -35,7 +35,7 @@
   size_t stage = 0;       // the due time it is held to at present
   Seconds sort_time = 0;  // orders the jobs of a rank
   int rank = kNoAimRank;  // the smaller, the earlier
-  Rise rise = Rise::none;
+  Aging rise = Aging::none;
   Seconds start_by() const { return due[stage] - run; }
 };
 
@@ -52,11 +52,11 @@
 // What the fleet can run at once, as far as work of a priority finds it.
 class Capacity {
  public:
-  explicit Capacity(const Ledger& ledger) : ledger_(ledger) {
+  explicit Capacity(const ClusterState& cluster) : cluster_(cluster) {
     std::map<std::tuple<const MachineType*, std::string, bool>, size_t> known;
-    for (const auto& [name, machine] : ledger.machines()) {
-      const MachineType* type = ledger.type(machine.type);
-      if (type == nullptr || machine.returning || machine.silent || machine.suspect) continue;
+    for (const auto& [name, machine] : cluster.machines()) {
+      const MachineType* type = cluster.type(machine.type);
+      if (type == nullptr || machine.returning || machine.silent || machine.quarantined) continue;
       const auto [at, made] = known.try_emplace({type, machine.zone, machine.spot}, pools_.size());
       if (made) pools_.push_back({type, machine.zone, machine.spot, 0, {}, {}});
       Pool& pool = pools_[at->second];
@@ -91,7 +91,7 @@
     return slots_there > 1 ? 1 / slots_there : 1;
   }
   double part_of_limit(const JobSpec& spec) const {
-    const TeamSettings* team = ledger_.settings().team(spec.team);
+    const TeamSettings* team = cluster_.settings().team(spec.team);
     if (team == nullptr) return 1;
     double part = 0;
     if (team->cpus_max > 0) part = std::max(part, spec.cpus / team->cpus_max);
@@ -101,7 +101,7 @@
   bool known() const { return !pools_.empty(); }
 
  private:
-  const Ledger& ledger_;
+  const ClusterState& cluster_;
   std::vector<Pool> pools_;
 };
 
@@ -253,8 +253,8 @@
 
 OrderKey order_key(const Candidate& c, bool guest, bool guaranteed) {
   const Job& job = *c.job;
-  if (c.rise == Rise::none) return {job.spec.priority, guest, c.rank, !guaranteed, c.sort_time};
-  const auto priority = c.rise == Rise::urgent
+  if (c.rise == Aging::none) return {job.spec.priority, guest, c.rank, !guaranteed, c.sort_time};
+  const auto priority = c.rise == Aging::urgent
                             ? std::min(job.spec.priority, protocol::Priority::high)
                             : job.spec.priority;
   return {priority, false, 0, false, job.submitted};
@@ -262,16 +262,16 @@
 
 }  // namespace
 
-std::vector<Seconds> due_times(const Ledger& ledger, const Job& job) {
+std::vector<Seconds> due_times(const ClusterState& cluster, const Job& job) {
   std::vector<Seconds> out;
-  for (const auto& aim : ledger.settings().objectives) {
+  for (const auto& aim : cluster.settings().objectives) {
     if (!aim.job_class.empty() && aim.job_class != job.spec.job_class) continue;
     if (aim.kind == "deadline" && job.spec.deadline_s) {
       out.push_back(job.submitted + *job.spec.deadline_s * aim.times);
     } else if (aim.kind == "finished") {
       out.push_back(job.submitted + aim.within_s);
     } else if (aim.kind == "wait" && !job.seen_running) {
-      out.push_back(job.submitted + aim.within_s + ledger.expected_run(job.spec));
+      out.push_back(job.submitted + aim.within_s + cluster.expected_run(job.spec));
     }
   }
   if (out.empty() && job.spec.deadline_s) out.push_back(job.submitted + *job.spec.deadline_s);
@@ -279,9 +279,9 @@
   return out;
 }
 
-std::optional<Resources> least_need(const Ledger& ledger) {
+std::optional<Resources> least_need(const ClusterState& cluster) {
   std::optional<Resources> out;
-  for (const auto& [id, job] : ledger.jobs()) {
+  for (const auto& [id, job] : cluster.jobs()) {
     if (job->waiting() == 0) continue;
     const Resources need = needs_of(job->spec);
     out = out ? least_of(*out, need) : need;
@@ -294,14 +294,14 @@
   return known == nullptr || (known->cpus <= 0 && known->gpus <= 0);
 }
 
-std::set<std::string> within_guarantee(const Ledger& ledger) {
+std::set<std::string> within_guarantee(const ClusterState& cluster) {
   std::map<std::string, std::vector<const Job*>> by_team;
-  for (const auto& [id, job] : ledger.jobs()) {
+  for (const auto& [id, job] : cluster.jobs()) {
     if (!job->over()) by_team[job->spec.team].push_back(job.get());
   }
   std::set<std::string> out;
   for (auto& [name, jobs] : by_team) {
-    const TeamSettings* team = ledger.settings().team(name);
+    const TeamSettings* team = cluster.settings().team(name);
     if (team == nullptr) continue;
     std::sort(jobs.begin(), jobs.end(), [](const Job* a, const Job* b) {
       return std::tie(a->submitted_at, a->id()) < std::tie(b->submitted_at, b->id());
@@ -317,10 +317,10 @@
   return out;
 }
 
-Rise rise_of(const Ledger& ledger, const Job& job, Seconds now, Seconds start_bound) {
-  if (start_bound <= 0 || job.seen_running) return Rise::none;
+Aging aging_of(const ClusterState& cluster, const Job& job, Seconds now, Seconds start_bound) {
+  if (start_bound <= 0 || job.seen_running) return Aging::none;
   Seconds fetch = 0;
-  for (const auto& type : ledger.types()) {
+  for (const auto& type : cluster.types()) {
     for (const auto& zone : type.zones) {
       if (allows(job.spec, type, zone, job.spec.spot)) {
         fetch = std::max(fetch, fetch_time(job.spec, type));
@@ -329,22 +329,22 @@
   }
   const Seconds time = std::max(start_bound - fetch, start_bound * kLeastTime);
   const Seconds waited = now - job.submitted;
-  if (waited > time * kUrgentAfter) return Rise::urgent;
-  return waited > time * kRisesAfter ? Rise::first_of_its_priority : Rise::none;
+  if (waited > time * kUrgentAfter) return Aging::urgent;
+  return waited > time * kRisesAfter ? Aging::first_of_its_priority : Aging::none;
 }
 
-std::vector<Job*> order_of_work(Ledger& ledger, Seconds now, Seconds start_bound) {
-  const auto guaranteed = within_guarantee(ledger);
-  const Capacity capacity(ledger);
+std::vector<Job*> order_of_work(ClusterState& cluster, Seconds now, Seconds start_bound) {
+  const auto guaranteed = within_guarantee(cluster);
+  const Capacity capacity(cluster);
   std::map<protocol::Priority, Shared> shared;
   std::vector<Candidate> all;
   std::map<protocol::Priority, std::pair<Seconds, double>> runs;  // summed, and how many
-  for (const auto& [id, job] : ledger.jobs()) {
+  for (const auto& [id, job] : cluster.jobs()) {
     const bool waits = job->waiting() > 0;
     if (job->live.empty() && !waits) continue;
     // A place is taken from the fetch of the image on.
-    const Seconds running = ledger.expected_run(job->spec);
-    const Seconds run = running + std::max(0.0, soonest_start(ledger, job->spec, false));
+    const Seconds running = cluster.expected_run(job->spec);
+    const Seconds run = running + std::max(0.0, soonest_start(cluster, job->spec, false));
     // Before any machine is known the team's limit alone tells.
     const double of_limit = capacity.part_of_limit(job->spec);
     const double of_fleet = capacity.known() ? capacity.part_of_fleet(job->spec) : of_limit;
@@ -354,8 +354,8 @@
     sum += run * job->waiting();
     count += job->waiting();
     all.push_back({job.get(), of_fleet * job->waiting(), of_limit * job->waiting(), run,
-                   due_times(ledger, *job), 0, job->submitted, kNoAimRank,
-                   rise_of(ledger, *job, now, start_bound)});
+                   due_times(cluster, *job), 0, job->submitted, kNoAimRank,
+                   aging_of(cluster, *job, now, start_bound)});
     shared[job->spec.priority].limits[job->spec.team];  // there, though nothing of it runs
   }
   for (auto& [priority, room] : shared) {
@@ -392,7 +392,7 @@
   std::vector<std::pair<OrderKey, Job*>> order;
   order.reserve(all.size());
   for (const Candidate& c : all) {
-    const bool guest = is_guest(ledger.settings(), c.job->spec.team);
+    const bool guest = is_guest(cluster.settings(), c.job->spec.team);
     order.emplace_back(order_key(c, guest, guaranteed.contains(c.job->id())), c.job);
   }
   std::sort(order.begin(), order.end(), [](const auto& a, const auto& b) {
--- a/tests/codec_test.cpp
+++ b/tests/codec_test.cpp
@@ -1,6 +1,6 @@
 #include <gtest/gtest.h>
 
-#include "coordination/front.hpp"
+#include "coordination/user_api.hpp"
 #include "protocol/cloud.hpp"
 #include "protocol/jobs.hpp"
 #include "protocol/workers.hpp"
--- a/tests/fleet_test.cpp
+++ b/tests/fleet_test.cpp
@@ -9,8 +9,10 @@
 
 class Fleet : public ::testing::Test {
  protected:
-  Fleet() : settings(testing::settings()), ledger(settings) { ledger.set_types(testing::types()); }
-  FleetPlan round(Seconds now = 100) { return plan_fleet(ledger, refusals, pending, now, 0); }
+  Fleet() : settings(testing::settings()), cluster(settings) {
+    cluster.set_types(testing::types());
+  }
+  FleetPlan round(Seconds now = 100) { return plan_fleet(cluster, refusals, pending, now, 0); }
   static int rented(const FleetPlan& plan) {
     int count = 0;
     for (const auto& rent : plan.rent) count += rent.count;
@@ -18,13 +20,13 @@
   }
 
   Settings settings;
-  Ledger ledger;
+  ClusterState cluster;
   Refusals refusals;
   std::map<Market, int> pending;
 };
 
 TEST_F(Fleet, RentsTheCheapestThatFits) {
-  testing::add(ledger, testing::spec("job-1", 2));
+  testing::add(cluster, testing::spec("job-1", 2));
   const FleetPlan out = round();
   ASSERT_EQ(out.rent.size(), 1u);
   EXPECT_EQ(out.rent[0].market.type, "small");
@@ -35,19 +37,19 @@
 TEST_F(Fleet, RentsSpotWhereTheJobAllows) {
   auto spec = testing::spec("job-1");
   spec.spot = true;
-  testing::add(ledger, spec);
+  testing::add(cluster, spec);
   ASSERT_EQ(round().rent.size(), 1u);
   EXPECT_TRUE(round().rent[0].market.spot);
 }
 
 TEST_F(Fleet, CountsWhatIsUpOnItsWayOrAskedFor) {
-  testing::add(ledger, testing::spec("job-1", 6));
+  testing::add(cluster, testing::spec("job-1", 6));
   EXPECT_EQ(rented(round()), 3);
-  testing::up(ledger, "i-1", "small");
+  testing::up(cluster, "i-1", "small");
   EXPECT_EQ(rented(round()), 2);
-  Machine& booting = ledger.machine("i-2");
+  Machine& booting = cluster.machine("i-2");
   booting.rented_at = 90;
-  ledger.set_type(booting, "small");
+  cluster.set_type(booting, "small");
   EXPECT_EQ(rented(round()), 1);
   pending[{"small", "east", false}] = 1;
   EXPECT_EQ(rented(round()), 0);
@@ -55,21 +57,21 @@
 
 // Room in the wrong zone is none: a gang to be spread waited for ever beside idle machines.
 TEST_F(Fleet, RentsInTheZonesAJobNeeds) {
-  for (int i = 0; i < 3; ++i) testing::up(ledger, "i-" + std::to_string(i), "large", "east");
+  for (int i = 0; i < 3; ++i) testing::up(cluster, "i-" + std::to_string(i), "large", "east");
   auto spread = testing::spec("job-1", 4);
   spread.gang = spread.spread = true;
-  testing::add(ledger, spread);
+  testing::add(cluster, spread);
   const FleetPlan out = round();
   ASSERT_EQ(out.rent.size(), 1u);
   EXPECT_EQ(out.rent[0].market.zone, "west");
   EXPECT_EQ(out.rent[0].count, 1);
 
-  ledger.clear();
-  testing::up(ledger, "i-1", "small", "east");
-  testing::up(ledger, "i-2", "large", "west");
+  cluster.clear();
+  testing::up(cluster, "i-1", "small", "east");
+  testing::up(cluster, "i-2", "large", "west");
   auto together = testing::spec("job-2", 10);
   together.gang = together.one_zone = true;
-  testing::add(ledger, together);
+  testing::add(cluster, together);
   for (const auto& rent : round().rent) EXPECT_EQ(rent.market.zone, "west");
   EXPECT_EQ(rented(round()), 1);
 }
@@ -80,7 +82,7 @@
     auto together = testing::spec("job-" + std::to_string(i), 3, 4);
     together.team = "blue";
     together.gang = together.one_zone = true;
-    testing::add(ledger, together);
+    testing::add(cluster, together);
   }
   std::map<std::string, int> by_zone;
   for (const auto& rent : round().rent) by_zone[rent.market.zone] += rent.count;
@@ -91,16 +93,16 @@
 }
 
 TEST_F(Fleet, NeverRentsBeyondATeamsLimit) {
-  testing::add(ledger, testing::spec("job-1", 1000));
+  testing::add(cluster, testing::spec("job-1", 1000));
   int cpus = 0;
   for (const auto& rent : round().rent) {
-    cpus += rent.count * static_cast<int>(ledger.type(rent.market.type)->cpus);
+    cpus += rent.count * static_cast<int>(cluster.type(rent.market.type)->cpus);
   }
   EXPECT_LE(cpus, 32);
 }
 
 TEST_F(Fleet, TurnsToAnotherMarketWhenRefused) {
-  testing::add(ledger, testing::spec("job-1"));
+  testing::add(cluster, testing::spec("job-1"));
   const Market first = round().rent.at(0).market;
   refusals.refused(first, 100, 5, 40);
   EXPECT_NE(round().rent.at(0).market, first);
@@ -122,30 +124,30 @@
 }
 
 TEST_F(Fleet, ReturnsWhatIsOfNoUse) {
-  Machine& idle = testing::up(ledger, "i-1", "small");
+  Machine& idle = testing::up(cluster, "i-1", "small");
   idle.idle_since = 10;
   EXPECT_TRUE(round(60).give_back.empty());  // a minute is charged anyhow
   EXPECT_EQ(round(200).give_back, std::vector<std::string>{"i-1"});
 
-  Machine& busy = testing::up(ledger, "i-2", "small");
-  auto& job = testing::add(ledger, testing::spec("job-1"));
-  ledger.place(job, 0, busy, 1, 100);
-  Machine& never = ledger.machine("i-3");
+  Machine& busy = testing::up(cluster, "i-2", "small");
+  auto& job = testing::add(cluster, testing::spec("job-1"));
+  cluster.place(job, 0, busy, 1, 100);
+  Machine& never = cluster.machine("i-3");
   never.rented_at = 100;
-  ledger.set_type(never, "small");
-  testing::up(ledger, "i-4", "small").silent = true;
+  cluster.set_type(never, "small");
+  testing::up(cluster, "i-4", "small").silent = true;
   EXPECT_EQ(round(1000).give_back, (std::vector<std::string>{"i-1", "i-3", "i-4"}));
 }
 
 // Many machines that hung for a little longer than their lease all went back, to be rented anew.
 TEST_F(Fleet, WaitsForASilentMachineAsLongAsAnotherWouldBoot) {
-  Machine& silent = testing::up(ledger, "i-1", "small");
+  Machine& silent = testing::up(cluster, "i-1", "small");
   silent.silent = true;
   silent.silent_since = 100;
-  testing::add(ledger, testing::spec("job-1"));
+  testing::add(cluster, testing::spec("job-1"));
   EXPECT_TRUE(round(110).give_back.empty());
   EXPECT_EQ(rented(round(110)), 0);  // it counts as room that is on its way
-  const Seconds later = 101 + ledger.type("small")->boot_s;
+  const Seconds later = 101 + cluster.type("small")->boot_s;
   EXPECT_EQ(round(later).give_back, std::vector<std::string>{"i-1"});
   EXPECT_EQ(rented(round(later)), 1);
 }
--- a/tests/planner_test.cpp
+++ b/tests/planner_test.cpp
@@ -9,18 +9,18 @@
 
 class Planner : public ::testing::Test {
  protected:
-  Planner() : settings(testing::settings()), ledger(settings) {
-    ledger.set_types(testing::types());
+  Planner() : settings(testing::settings()), cluster(settings) {
+    cluster.set_types(testing::types());
   }
 
-  Plan round(Seconds now = 100) { return plan(ledger, holds, now, limits); }
+  Plan round(Seconds now = 100) { return plan(cluster, holds, now, limits); }
   // Plans and places, as the leader does.
   Plan carried_out(Seconds now = 100) {
     Plan out = round(now);
     for (const auto& assignment : out.assignments) {
-      Job& job = *ledger.job(assignment.job);
+      Job& job = *cluster.job(assignment.job);
       for (const auto& [task, machine] : assignment.tasks) {
-        ledger.place(job, task, ledger.machine(machine), 1, now);
+        cluster.place(job, task, cluster.machine(machine), 1, now);
       }
     }
     return out;
@@ -41,19 +41,19 @@
   }
 
   Settings settings;
-  Ledger ledger;
+  ClusterState cluster;
   GangHolds holds;
   PlanLimits limits;
 };
 
 TEST_F(Planner, PlacesAnArrayAsFarAsThereIsRoom) {
-  testing::up(ledger, "i-1", "small");
-  testing::up(ledger, "i-2", "small");
-  auto& job = testing::add(ledger, testing::spec("job-1", 10));
+  testing::up(cluster, "i-1", "small");
+  testing::up(cluster, "i-2", "small");
+  auto& job = testing::add(cluster, testing::spec("job-1", 10));
   EXPECT_EQ(placed(carried_out(), "job-1"), 4u);
   EXPECT_EQ(job.waiting(), 6u);
   EXPECT_TRUE(round().assignments.empty());
-  ledger.unplace(job, 0, 101);
+  cluster.unplace(job, 0, 101);
   EXPECT_EQ(placed(round(), "job-1"), 1u);
 }
 
@@ -64,26 +64,26 @@
   constexpr int kJobs = 1000;
   for (auto& team : settings.teams) team.cpus_max = 1e6;
   JobSpec filling = testing::spec("job-0", kMachines, 16);
-  Job& filler = testing::add(ledger, filling);
+  Job& filler = testing::add(cluster, filling);
   for (int i = 0; i < kMachines; ++i) {
-    Machine& m = testing::up(ledger, "i-" + std::to_string(i), "large", i % 2 ? "east" : "west");
-    ledger.place(filler, static_cast<std::uint32_t>(i), m, 1, 0);
+    Machine& m = testing::up(cluster, "i-" + std::to_string(i), "large", i % 2 ? "east" : "west");
+    cluster.place(filler, static_cast<std::uint32_t>(i), m, 1, 0);
   }
   runs(filler, [](std::uint32_t) -> Seconds { return 50; });
   for (int i = 1; i <= kJobs; ++i) {
     auto spec = testing::spec("job-" + std::to_string(i), 4, 4);
     spec.gang = spec.one_zone = i % 2 == 0;
     spec.team = i % 3 == 0 ? "red" : "blue";
-    testing::add(ledger, spec, i * 0.01);
+    testing::add(cluster, spec, i * 0.01);
   }
   EXPECT_EQ(round().looked_at, 0u);
-  ledger.unplace(filler, 7, 100);
+  cluster.unplace(filler, 7, 100);
   const Plan one_free = round();
   EXPECT_EQ(one_free.assignments.size(), 1u);
   EXPECT_LE(one_free.looked_at, 2u * kJobs);
   // Urgent work that finds nothing looks for what to stop: once for its kind, not once a job.
   for (int i = 1; i <= kJobs; ++i)
-    ledger.job("job-" + std::to_string(i))->spec.priority = protocol::Priority::production;
+    cluster.job("job-" + std::to_string(i))->spec.priority = protocol::Priority::production;
   filler.spec.priority = protocol::Priority::production;
   EXPECT_LE(round().looked_at, 2u * kJobs + 4u * kMachines);
 }
@@ -108,22 +108,22 @@
       {"the image takes too long", 1, 1, "blue", 12, 2, true},
   };
   for (const auto& c : cases) {
-    ledger.clear();
+    cluster.clear();
     settings.objectives = {{"finished", "", 20, 0.9, 1}};
     // The larger job lies within its team's guarantee: that alone does not put it first.
     settings.teams[0].cpus = settings.teams[0].cpus_max = 100;
-    testing::up(ledger, "i-1", "large");
-    testing::up(ledger, "i-2", "large");
+    testing::up(cluster, "i-1", "large");
+    testing::up(cluster, "i-2", "large");
     auto large = testing::spec("job-1", c.large_tasks, c.cpus);
     large.memory_gb = c.memory_gb;
     large.image_gb = c.large_image_gb;
-    testing::add(ledger, large, 0);
+    testing::add(cluster, large, 0);
     auto small = testing::spec("job-2", 1, c.cpus);
     small.memory_gb = c.memory_gb;
     small.image_gb = 0.1;
     small.team = c.small_team;
-    testing::add(ledger, small, 1);
-    const auto order = order_of_work(ledger, 5, 0);
+    testing::add(cluster, small, 1);
+    const auto order = order_of_work(cluster, 5, 0);
     ASSERT_EQ(order.size(), 2u) << c.what;
     EXPECT_EQ(order[0]->id(), c.small_first ? "job-2" : "job-1") << c.what;
   }
@@ -132,16 +132,16 @@
 // Long work without an aim came first, so that short work missed the aim that it had.
 TEST_F(Planner, WhatCanMeetAnAimComesBeforeWhatHasNone) {
   settings.objectives = {{"finished", "aimed", 50, 0.9, 1}};
-  testing::up(ledger, "i-1", "large");
+  testing::up(cluster, "i-1", "large");
   auto aimed = testing::spec("job-2");
   aimed.job_class = "aimed";
-  testing::add(ledger, testing::spec("job-1"), 100);
-  testing::add(ledger, aimed, 120);
+  testing::add(cluster, testing::spec("job-1"), 100);
+  testing::add(cluster, aimed, 120);
   auto late = testing::spec("job-3");
   late.job_class = "aimed";
-  testing::add(ledger, late, 10);
+  testing::add(cluster, late, 10);
   std::vector<std::string> ids;
-  for (const Job* job : order_of_work(ledger, 130, 0)) ids.push_back(job->id());
+  for (const Job* job : order_of_work(cluster, 130, 0)) ids.push_back(job->id());
   EXPECT_EQ(ids, (std::vector<std::string>{"job-2", "job-1", "job-3"}));
 }
 
@@ -150,55 +150,55 @@
   const struct {
     double image_gb;  // 0.5 GB a second
     Seconds waited;
-    Rise rise;
+    Aging rise;
   } cases[] = {
-      {0, 179, Rise::none},
-      {0, 181, Rise::first_of_its_priority},
-      {0, 201, Rise::urgent},
-      {50, 104, Rise::none},
-      {50, 106, Rise::first_of_its_priority},
-      {50, 118, Rise::urgent},
-      {500, 91, Rise::first_of_its_priority},
+      {0, 179, Aging::none},
+      {0, 181, Aging::first_of_its_priority},
+      {0, 201, Aging::urgent},
+      {50, 104, Aging::none},
+      {50, 106, Aging::first_of_its_priority},
+      {50, 118, Aging::urgent},
+      {500, 91, Aging::first_of_its_priority},
   };
   for (const auto& c : cases) {
-    ledger.clear();
+    cluster.clear();
     auto spec = testing::spec("job-1");
     spec.image_gb = c.image_gb;
-    EXPECT_EQ(rise_of(ledger, testing::add(ledger, spec, 0), c.waited, 240), c.rise)
+    EXPECT_EQ(aging_of(cluster, testing::add(cluster, spec, 0), c.waited, 240), c.rise)
         << c.image_gb << " GB, " << c.waited << " s";
   }
 }
 
 TEST_F(Planner, NeverExceedsATeamsLimit) {
-  for (int i = 0; i < 10; ++i) testing::up(ledger, "i-" + std::to_string(i), "large");
-  testing::add(ledger, testing::spec("job-1", 100), 1);
-  testing::add(ledger, testing::spec("job-2", 100), 2);
+  for (int i = 0; i < 10; ++i) testing::up(cluster, "i-" + std::to_string(i), "large");
+  testing::add(cluster, testing::spec("job-1", 100), 1);
+  testing::add(cluster, testing::spec("job-2", 100), 2);
   const Plan out = carried_out();
   EXPECT_EQ(placed(out, "job-1") + placed(out, "job-2"), 16u);  // 32 CPUs at most, 2 each
   EXPECT_TRUE(round().assignments.empty());
 }
 
 TEST_F(Planner, OrderOfWork) {
-  testing::add(ledger, testing::spec("job-1"), 1);
+  testing::add(cluster, testing::spec("job-1"), 1);
   auto urgent = testing::spec("job-2");
   urgent.priority = protocol::Priority::high;
-  testing::add(ledger, urgent, 3);
-  testing::add(ledger, testing::spec("job-3"), 2);
-  testing::add(ledger, testing::spec("job-4", 100), 0);  // beyond its team's guarantee
+  testing::add(cluster, urgent, 3);
+  testing::add(cluster, testing::spec("job-3"), 2);
+  testing::add(cluster, testing::spec("job-4", 100), 0);  // beyond its team's guarantee
   std::vector<std::string> ids;
-  for (const Job* job : order_of_work(ledger, 10, 0)) ids.push_back(job->id());
+  for (const Job* job : order_of_work(cluster, 10, 0)) ids.push_back(job->id());
   // job-4 came first and exceeds the guarantee; so do all that come after it in its team.
   EXPECT_EQ(ids, (std::vector<std::string>{"job-2", "job-4", "job-1", "job-3"}));
 }
 
 TEST_F(Planner, GuaranteeCountsTheTeamsEarlierJobs) {
-  testing::add(ledger, testing::spec("job-1", 4, 2), 1);
-  testing::add(ledger, testing::spec("job-2", 4, 2), 2);
-  testing::add(ledger, testing::spec("job-3", 1, 2), 3);
+  testing::add(cluster, testing::spec("job-1", 4, 2), 1);
+  testing::add(cluster, testing::spec("job-2", 4, 2), 2);
+  testing::add(cluster, testing::spec("job-3", 1, 2), 3);
   auto other = testing::spec("job-4", 8, 2);
   other.team = "blue";
-  testing::add(ledger, other, 4);
-  EXPECT_EQ(within_guarantee(ledger), (std::set<std::string>{"job-1", "job-2", "job-4"}));
+  testing::add(cluster, other, 4);
+  EXPECT_EQ(within_guarantee(cluster), (std::set<std::string>{"job-1", "job-2", "job-4"}));
 }
 
 TEST_F(Planner, OnlyWhereTheJobAllows) {
@@ -220,11 +220,11 @@
       {"too large", "small", "east", false, [](protocol::JobSpec& s) { s.cpus = 5; }, 0},
   };
   for (const auto& c : cases) {
-    ledger.clear();
-    testing::up(ledger, "i-1", c.type, c.zone, c.spot);
+    cluster.clear();
+    testing::up(cluster, "i-1", c.type, c.zone, c.spot);
     auto spec = testing::spec("job-1");
     c.change(spec);
-    testing::add(ledger, spec);
+    testing::add(cluster, spec);
     EXPECT_EQ(placed(round(), "job-1"), c.placed) << c.what;
   }
 }
@@ -238,46 +238,46 @@
       {"silent", [](Machine& m) { m.silent = true; }},
       {"on its way back", [](Machine& m) { m.returning = true; }},
       {"to be taken", [](Machine& m) { m.taken_at = 105; }},
-      {"fails every task", [](Machine& m) { m.suspect = true; }},
+      {"fails every task", [](Machine& m) { m.quarantined = true; }},
       {"said it was full", [](Machine& m) { m.refused_until = 101; }},
       // It answers calls, but its own reports have stopped for more than half a lease of 12 s.
       {"brings no reports", [](Machine& m) { m.reported_at = 93.9; }},
   };
   for (const auto& c : cases) {
-    ledger.clear();
-    c.change(testing::up(ledger, "i-1", "small"));
-    testing::add(ledger, testing::spec("job-1"));
+    cluster.clear();
+    c.change(testing::up(cluster, "i-1", "small"));
+    testing::add(cluster, testing::spec("job-1"));
     EXPECT_TRUE(round().assignments.empty()) << c.what;
   }
-  ledger.clear();
-  testing::up(ledger, "i-1", "small").reported_at = 94.1;
-  testing::add(ledger, testing::spec("job-1"));
+  cluster.clear();
+  testing::up(cluster, "i-1", "small").reported_at = 94.1;
+  testing::add(cluster, testing::spec("job-1"));
   EXPECT_EQ(placed(round(), "job-1"), 1u) << "a report that is late for a moment";
 }
 
 TEST_F(Planner, OneZoneAndSpread) {
-  testing::up(ledger, "i-1", "small", "east");
-  testing::up(ledger, "i-2", "small", "west");
-  testing::up(ledger, "i-3", "small", "west");
+  testing::up(cluster, "i-1", "small", "east");
+  testing::up(cluster, "i-2", "small", "west");
+  testing::up(cluster, "i-3", "small", "west");
   auto together = testing::spec("job-1", 4);
   together.one_zone = true;
-  auto& job = testing::add(ledger, together);
+  auto& job = testing::add(cluster, together);
   const Plan out = carried_out();
   ASSERT_EQ(placed(out, "job-1"), 4u);
   for (const auto& [task, machine] : out.assignments[0].tasks) EXPECT_NE(machine, "i-1");
   // Tasks of an old attempt keep the job in their zone until they are gone.
-  for (std::uint32_t task = 1; task < 4; ++task) ledger.unplace(job, task, 101);
-  auto* blocked = &testing::up(ledger, "i-2", "small", "west");
+  for (std::uint32_t task = 1; task < 4; ++task) cluster.unplace(job, task, 101);
+  auto* blocked = &testing::up(cluster, "i-2", "small", "west");
   blocked->silent = true;
   const Plan again = round();
   for (const auto& [task, machine] : again.assignments[0].tasks) EXPECT_EQ(machine, "i-3");
 
-  ledger.clear();
-  testing::up(ledger, "i-1", "large", "east");
-  testing::up(ledger, "i-2", "small", "west");
+  cluster.clear();
+  testing::up(cluster, "i-1", "large", "east");
+  testing::up(cluster, "i-2", "small", "west");
   auto spread = testing::spec("job-2", 5);
   spread.spread = true;
-  testing::add(ledger, spread);
+  testing::add(cluster, spread);
   size_t east = 0;
   const Plan half = round();
   for (const auto& [task, machine] : half.assignments[0].tasks) east += machine == "i-1";
@@ -286,42 +286,42 @@
 }
 
 TEST_F(Planner, PrefersTheMachineWithTheImage) {
-  testing::up(ledger, "i-1", "large");
-  testing::up(ledger, "i-2", "large");
-  testing::up(ledger, "i-3", "large").images["image"] = {1, 0};
-  testing::add(ledger, testing::spec("job-1"));
+  testing::up(cluster, "i-1", "large");
+  testing::up(cluster, "i-2", "large");
+  testing::up(cluster, "i-3", "large").images["image"] = {1, 0};
+  testing::add(cluster, testing::spec("job-1"));
   EXPECT_EQ(round().assignments[0].tasks[0].second, "i-3");
 }
 
 TEST_F(Planner, LeavesGpuMachinesToGpuWork) {
-  testing::up(ledger, "i-1", "gpu");
-  testing::up(ledger, "i-2", "large");
-  testing::add(ledger, testing::spec("job-1"));
+  testing::up(cluster, "i-1", "gpu");
+  testing::up(cluster, "i-2", "large");
+  testing::add(cluster, testing::spec("job-1"));
   EXPECT_EQ(round().assignments[0].tasks[0].second, "i-2");
 }
 
 TEST_F(Planner, AGangStartsWholeOrNotAtAll) {
-  testing::up(ledger, "i-1", "small");
+  testing::up(cluster, "i-1", "small");
   auto gang = testing::spec("job-1", 4);
   gang.gang = true;
-  testing::add(ledger, gang);
+  testing::add(cluster, gang);
   EXPECT_TRUE(round().assignments.empty());
   // It holds the room it has found, and nobody else gets it.
   ASSERT_NE(holds.find("job-1"), nullptr);
-  testing::add(ledger, testing::spec("job-2"), 5);
+  testing::add(cluster, testing::spec("job-2"), 5);
   EXPECT_TRUE(round(101).assignments.empty());
-  testing::up(ledger, "i-2", "small");
+  testing::up(cluster, "i-2", "small");
   const Plan out = round(102);
   EXPECT_EQ(placed(out, "job-1"), 4u);
   EXPECT_EQ(holds.find("job-1"), nullptr);
 }
 
 TEST_F(Planner, HoldsEndAtTheirLimitAndTheGangQueuesAgain) {
-  testing::up(ledger, "i-1", "small");
+  testing::up(cluster, "i-1", "small");
   auto gang = testing::spec("job-1", 4);
   gang.gang = true;
-  auto& job = testing::add(ledger, gang);
-  testing::add(ledger, testing::spec("job-2"), 5);
+  auto& job = testing::add(cluster, gang);
+  testing::add(cluster, testing::spec("job-2"), 5);
   round(100);
   EXPECT_TRUE(round(100 + limits.hold_s - 1).assignments.empty());
   const Plan out = round(100 + limits.hold_s);
@@ -331,30 +331,30 @@
 }
 
 TEST_F(Planner, TwoGangsDoNotBlockEachOther) {
-  testing::up(ledger, "i-1", "small");
-  testing::up(ledger, "i-2", "small");
+  testing::up(cluster, "i-1", "small");
+  testing::up(cluster, "i-2", "small");
   auto first = testing::spec("job-1", 6);
   auto second = testing::spec("job-2", 6);
   first.gang = second.gang = true;
-  testing::add(ledger, first, 1);
-  testing::add(ledger, second, 2);
+  testing::add(cluster, first, 1);
+  testing::add(cluster, second, 2);
   round();
   EXPECT_NE(holds.find("job-1"), nullptr);
   EXPECT_EQ(holds.find("job-2"), nullptr);
-  testing::up(ledger, "i-3", "small");
+  testing::up(cluster, "i-3", "small");
   EXPECT_EQ(placed(round(101), "job-1"), 6u);
 }
 
 TEST_F(Planner, UrgentWorkPushesLowerWorkAside) {
-  testing::up(ledger, "i-1", "small");
-  auto& low = testing::add(ledger, testing::spec("job-1", 2));
+  testing::up(cluster, "i-1", "small");
+  auto& low = testing::add(cluster, testing::spec("job-1", 2));
   carried_out();
   runs(low, [](std::uint32_t task) { return 100.0 - task; });
-  testing::add(ledger, testing::spec("job-2"), 5);
+  testing::add(cluster, testing::spec("job-2"), 5);
   EXPECT_TRUE(round(110).preemptions.empty());  // of the same priority
   auto urgent = testing::spec("job-3");
   urgent.priority = protocol::Priority::high;
-  testing::add(ledger, urgent, 6);
+  testing::add(cluster, urgent, 6);
   const Plan out = round(110);
   ASSERT_EQ(out.preemptions.size(), 1u);
   EXPECT_EQ(out.preemptions[0].for_job, "job-3");
@@ -367,27 +367,27 @@
 // Two tasks had to go for one urgent job; what the first left went to lower work at once, which
 // was then stopped in turn, and so on for a minute.
 TEST_F(Planner, WhatIsFreedForUrgentWorkIsNotTakenByLowerWork) {
-  testing::up(ledger, "i-1", "small");
-  auto& low = testing::add(ledger, testing::spec("job-1", 2));
+  testing::up(cluster, "i-1", "small");
+  auto& low = testing::add(cluster, testing::spec("job-1", 2));
   carried_out();
   runs(low, [](std::uint32_t) { return 100.0; });
-  testing::add(ledger, testing::spec("job-2"), 5);
+  testing::add(cluster, testing::spec("job-2"), 5);
   auto urgent = testing::spec("job-3", 1, 4);
   urgent.priority = protocol::Priority::high;
-  testing::add(ledger, urgent, 6);
+  testing::add(cluster, urgent, 6);
   ASSERT_EQ(round(110).preemptions.size(), 2u);
   low.live.at(1).stopping = true;
-  ledger.unplace(low, 0, 111);
+  cluster.unplace(low, 0, 111);
   const Plan out = round(111);
   EXPECT_TRUE(out.assignments.empty());
   EXPECT_TRUE(out.preemptions.empty());
-  ledger.unplace(low, 1, 112);
+  cluster.unplace(low, 1, 112);
   EXPECT_EQ(placed(round(112), "job-3"), 1u);
 }
 
 TEST_F(Planner, GoesOnWhereTimeRanOut) {
-  testing::up(ledger, "i-1", "large");
-  for (int i = 0; i < 4; ++i) testing::add(ledger, testing::spec("job-" + std::to_string(i)), i);
+  testing::up(cluster, "i-1", "large");
+  for (int i = 0; i < 4; ++i) testing::add(cluster, testing::spec("job-" + std::to_string(i)), i);
   int looked = 0;
   limits.out_of_time = [&] { return ++looked >= 2; };
   const Plan first = round();
@@ -416,21 +416,21 @@
       {"five sixths, but begun", 205, true, {"job-1", "job-2", "job-3"}},
   };
   for (const auto& c : cases) {
-    ledger.clear();
+    cluster.clear();
     auto normal = testing::spec("job-1");
-    testing::add(ledger, normal, 999);
+    testing::add(cluster, normal, 999);
     auto small = testing::spec("job-2");
     small.priority = protocol::Priority::low;
     small.deadline_s = 1000;
-    testing::add(ledger, small, 1000);
+    testing::add(cluster, small, 1000);
     // Larger than its team's guarantee, and hopelessly late.
     auto large = testing::spec("job-3", 50);
     large.priority = protocol::Priority::low;
     large.deadline_s = 1;
-    Job& job = testing::add(ledger, large, 1000 - c.waited);
+    Job& job = testing::add(cluster, large, 1000 - c.waited);
     job.seen_running = c.begun;
     std::vector<std::string> ids;
-    for (const Job* j : order_of_work(ledger, 1000, 240)) ids.push_back(j->id());
+    for (const Job* j : order_of_work(cluster, 1000, 240)) ids.push_back(j->id());
     EXPECT_EQ(ids, c.order) << c.what;
   }
 }
@@ -448,19 +448,19 @@
       {"one of a gang stops the whole gang", 1, true, 4},
   };
   for (const auto& c : cases) {
-    ledger.clear();
+    cluster.clear();
     holds.clear();
-    for (int i = 0; i < 4; ++i) testing::up(ledger, "i-" + std::to_string(i), "small");
+    for (int i = 0; i < 4; ++i) testing::up(cluster, "i-" + std::to_string(i), "small");
     auto lower = testing::spec("job-1", 4, 4);
     lower.gang = c.victims_are_a_gang;
-    Job& running = testing::add(ledger, lower, 1);
+    Job& running = testing::add(cluster, lower, 1);
     ASSERT_EQ(placed(carried_out(), "job-1"), 4u) << c.what;
     runs(running, [](std::uint32_t) { return Seconds(90); });
     auto urgent = testing::spec("job-2", c.wanted, 4);
     urgent.gang = true;
     urgent.team = "blue";
     urgent.priority = protocol::Priority::high;
-    testing::add(ledger, urgent, 2);
+    testing::add(cluster, urgent, 2);
     EXPECT_EQ(round().preemptions.size(), c.stopped) << c.what;
     for (const auto& victim : round().preemptions) {
       running.live.at(victim.task).stopping = true;
@@ -497,40 +497,40 @@
       {"not within the guarantee itself", "green", 2, Priority::low, 5, Priority::normal, false},
   };
   for (const auto& c : cases) {
-    ledger.clear();
+    cluster.clear();
     for (std::uint32_t i = 0; i < c.owner_tasks; ++i) {
-      testing::up(ledger, "i-" + std::to_string(i), "small");
+      testing::up(cluster, "i-" + std::to_string(i), "small");
     }
     auto held = testing::spec("job-1", c.owner_tasks, 4);
     held.team = c.owner;
     held.priority = c.owner_priority;
-    Job& owner = testing::add(ledger, held, 99);
+    Job& owner = testing::add(cluster, held, 99);
     ASSERT_EQ(placed(carried_out(), "job-1"), c.owner_tasks) << c.what;
     runs(owner, [](std::uint32_t) { return Seconds(95); });
     auto wanting = testing::spec("job-2", c.wanting_tasks, 4);
     wanting.priority = c.wanting_priority;
-    testing::add(ledger, wanting, 100);
+    testing::add(cluster, wanting, 100);
     EXPECT_EQ(!round(100).preemptions.empty(), c.stops) << c.what;
   }
 }
 
 // All jobs alike lost tasks to more important work, so that none of them ended.
 TEST_F(Planner, OfJobsAlikeTheLastGivesWay) {
-  testing::up(ledger, "i-1", "large");
+  testing::up(cluster, "i-1", "large");
   for (int i = 0; i < 4; ++i) {
     auto lower = testing::spec("job-" + std::to_string(i), 2, 2);
     lower.priority = protocol::Priority::low;
-    testing::add(ledger, lower, 10 + (i * 7) % 4);  // the last to come is job-1
+    testing::add(cluster, lower, 10 + (i * 7) % 4);  // the last to come is job-1
   }
   carried_out();
   // They lose different amounts, though none by a report interval more than another.
   for (int i = 0; i < 4; ++i) {
-    runs(*ledger.job("job-" + std::to_string(i)), [](std::uint32_t task) { return 99.9 - task; });
+    runs(*cluster.job("job-" + std::to_string(i)), [](std::uint32_t task) { return 99.9 - task; });
   }
   auto urgent = testing::spec("job-9", 1, 3);
   urgent.team = "blue";
   urgent.priority = protocol::Priority::high;
-  testing::add(ledger, urgent, 20);
+  testing::add(cluster, urgent, 20);
   const Plan out = round();
   ASSERT_EQ(out.preemptions.size(), 2u);
   for (const auto& victim : out.preemptions) EXPECT_EQ(victim.job, "job-1");
@@ -539,22 +539,22 @@
 // Tasks of the first zone were stopped though the gang then went to the second.
 TEST_F(Planner, NothingIsStoppedInAZoneThatDoesNotTakeTheGang) {
   for (int i = 0; i < 3; ++i) {
-    testing::up(ledger, "i-" + std::to_string(i), "small", i == 0 ? "east" : "west");
+    testing::up(cluster, "i-" + std::to_string(i), "small", i == 0 ? "east" : "west");
   }
   auto lower = testing::spec("job-1", 3, 4);
   lower.priority = protocol::Priority::low;
-  Job& running = testing::add(ledger, lower);
+  Job& running = testing::add(cluster, lower);
   ASSERT_EQ(placed(carried_out(), "job-1"), 3u);
   runs(running, [](std::uint32_t) { return Seconds(90); });
   auto gang = testing::spec("job-2", 2, 4);
   gang.gang = gang.one_zone = true;
   gang.team = "blue";
   gang.priority = protocol::Priority::high;
-  testing::add(ledger, gang, 1);
+  testing::add(cluster, gang, 1);
   const Plan out = round();
   ASSERT_EQ(out.preemptions.size(), 2u);
   for (const auto& victim : out.preemptions) {
-    EXPECT_EQ(ledger.find_machine(running.live.at(victim.task).machine)->zone, "west");
+    EXPECT_EQ(cluster.find_machine(running.live.at(victim.task).machine)->zone, "west");
   }
 }
 
@@ -562,17 +562,17 @@
 // 12 s at most: low work waited for minutes beside idle machines.
 TEST_F(Planner, WorkDoesNotWaitForLongBesideRoomThatIsKept) {
   settings.objectives = {{"wait", "short", 1, 0.9, 1}};
-  testing::up(ledger, "i-1", "small");
+  testing::up(cluster, "i-1", "small");
   for (int i = 0; i < 40; ++i) {
     auto arrival = testing::spec("job-" + std::to_string(100 + i), 1, 4);
     arrival.job_class = "short";
     arrival.priority = protocol::Priority::high;
-    ledger.learn_arrival(testing::add(ledger, arrival, 60 + i));
-    ledger.remove_job(arrival.id);
+    cluster.learn_arrival(testing::add(cluster, arrival, 60 + i));
+    cluster.remove_job(arrival.id);
   }
   auto low = testing::spec("job-1");
   low.priority = protocol::Priority::low;
-  testing::add(ledger, low, 100);
+  testing::add(cluster, low, 100);
   EXPECT_EQ(placed(round(101), "job-1"), 0u);
   EXPECT_EQ(placed(round(123.9), "job-1"), 0u);
   EXPECT_EQ(placed(round(124.1), "job-1"), 1u);
@@ -582,11 +582,11 @@
 TEST_F(Planner, DefersLowWorkWhileOverloaded) {
   limits.start_bound_s = 240;
   limits.defers_low = true;
-  testing::up(ledger, "i-1", "large");
+  testing::up(cluster, "i-1", "large");
   auto low = testing::spec("job-1");
   low.priority = protocol::Priority::low;
-  testing::add(ledger, low, 0);
-  testing::add(ledger, testing::spec("job-2"), 0);
+  testing::add(cluster, low, 0);
+  testing::add(cluster, testing::spec("job-2"), 0);
   EXPECT_EQ(placed(round(10), "job-1"), 0u);
   EXPECT_EQ(placed(round(10), "job-2"), 1u);
   EXPECT_EQ(placed(round(190), "job-1"), 1u);
@@ -596,9 +596,9 @@
 
 // A job with a mistake: its tasks take no room but for one try, and go to another machine first.
 TEST_F(Planner, OfAJobThatFailsEverywhereOneTaskIsTried) {
-  testing::up(ledger, "i-1", "large");
-  testing::up(ledger, "i-2", "large");
-  Job& job = testing::add(ledger, testing::spec("job-1", 8, 1));
+  testing::up(cluster, "i-1", "large");
+  testing::up(cluster, "i-2", "large");
+  Job& job = testing::add(cluster, testing::spec("job-1", 8, 1));
   job.failed_on = {"i-1"};
   const Plan twice = round();
   ASSERT_EQ(placed(twice, "job-1"), 8u);
@@ -606,23 +606,23 @@
   job.failed_on = {"i-1", "i-2", "i-3"};
   EXPECT_TRUE(job.fails_everywhere());
   EXPECT_EQ(placed(carried_out(), "job-1"), 1u);
-  ledger.finish(job, 0, 101);  // one succeeds after all
+  cluster.finish(job, 0, 101);  // one succeeds after all
   EXPECT_EQ(placed(round(), "job-1"), 7u);
 }
 
-// What had risen is not stopped for the work that it was placed before.
+// What had aged is not stopped for the work that it was placed before.
 TEST_F(Planner, WhatHasRisenIsNotPushedAside) {
-  testing::up(ledger, "i-1", "small");
+  testing::up(cluster, "i-1", "small");
   auto lower = testing::spec("job-1", 1, 4);
   lower.priority = protocol::Priority::low;
-  Job& risen = testing::add(ledger, lower, 1);
+  Job& aged = testing::add(cluster, lower, 1);
   ASSERT_EQ(placed(carried_out(), "job-1"), 1u);
-  runs(risen, [](std::uint32_t) { return Seconds(90); });
+  runs(aged, [](std::uint32_t) { return Seconds(90); });
   auto urgent = testing::spec("job-2", 1, 4);
   urgent.priority = protocol::Priority::high;
-  testing::add(ledger, urgent, 2);
+  testing::add(cluster, urgent, 2);
   EXPECT_EQ(round().preemptions.size(), 1u);
-  risen.risen = true;
+  aged.aged = true;
   EXPECT_TRUE(round().preemptions.empty());
 }
 
@@ -630,14 +630,14 @@
 // run as a job with more than half of its tasks in one zone.
 TEST_F(Planner, NothingThatDependsOnAZoneNotKnownYet) {
   for (const bool spread : {false, true}) {
-    ledger.clear();
-    testing::up(ledger, "i-1", "small", "west");
+    cluster.clear();
+    testing::up(cluster, "i-1", "small", "west");
     auto spec = testing::spec("job-1", 4);
     spec.one_zone = !spread;
     spec.spread = spread;
-    Job& job = testing::add(ledger, spec);
-    Machine& unheard = ledger.machine("i-2");
-    ledger.place(job, 0, unheard, 1, 100);
+    Job& job = testing::add(cluster, spec);
+    Machine& unheard = cluster.machine("i-2");
+    cluster.place(job, 0, unheard, 1, 100);
     EXPECT_EQ(placed(round(), "job-1"), 0u);
     unheard.zone = "west";
     EXPECT_EQ(placed(round(), "job-1"), spread ? 1u : 2u);
@@ -648,14 +648,14 @@
 TEST_F(Planner, AGangEndsItsAttemptWithItsLastTask) {
   auto spec = testing::spec("job-1", 2);
   spec.gang = true;
-  Job& job = testing::add(ledger, spec);
+  Job& job = testing::add(cluster, spec);
   for (std::uint32_t task = 0; task < 2; ++task) {
-    ledger.place(job, task, testing::up(ledger, "i-" + std::to_string(task), "small"), 1, 100);
+    cluster.place(job, task, testing::up(cluster, "i-" + std::to_string(task), "small"), 1, 100);
   }
   job.gang_started = true;
-  ledger.unplace(job, 0, 101);
+  cluster.unplace(job, 0, 101);
   job.gang_broken = true;
-  ledger.finish(job, 1, 101);
+  cluster.finish(job, 1, 101);
   EXPECT_FALSE(job.gang_broken);
   EXPECT_EQ(job.waiting(), 1u);
 }
--- a/tests/records_test.cpp
+++ b/tests/records_test.cpp
@@ -46,28 +46,28 @@
   EXPECT_TRUE(decode_images(encode(Images{})).empty());
 }
 
-// A new leader builds its picture from chunks in whatever order the store lists their keys.
+// A new leader builds its statistics from chunks in whatever order the store lists their keys.
 TEST(Records, ALedgerIsBuiltFromChunksInAnyOrder) {
   const Settings settings = testing::settings();
   for (const bool reversed : {false, true}) {
-    coordination::Ledger ledger(settings);
-    ledger.set_types(testing::types());
+    coordination::ClusterState cluster(settings);
+    cluster.set_types(testing::types());
     auto spec = testing::spec("job-1", 10);
-    auto& job = ledger.add_job("job-1", {spec, 0, 4, false}, 1);
+    auto& job = cluster.add_job("job-1", {spec, 0, 4, false}, 1);
     const ChunkRecord first{3, {{0, 1}}, {{2, 3, "i-1", 1}}};
     const ChunkRecord second{2, {{5, 5}}, {}};
-    if (reversed) ledger.load_chunk(job, 1, second, 12, 8, 0);
-    ledger.load_chunk(job, 0, first, 11, 8, 0);
-    if (!reversed) ledger.load_chunk(job, 1, second, 12, 8, 0);
+    if (reversed) cluster.load_chunk(job, 1, second, 12, 8, 0);
+    cluster.load_chunk(job, 0, first, 11, 8, 0);
+    if (!reversed) cluster.load_chunk(job, 1, second, 12, 8, 0);
     EXPECT_EQ(job.done_count, 3u);
     EXPECT_EQ(job.live.size(), 1u);
     EXPECT_EQ(job.returned, (std::set<std::uint32_t>{3, 4, 6, 7})) << reversed;
     EXPECT_EQ(job.next_fresh, 8u);
     EXPECT_EQ(job.waiting(), 6u);
     EXPECT_EQ(job.chunks[0].mark, 11u);
-    EXPECT_EQ(ledger.used_by("red").cpus, 2);
-    EXPECT_EQ(encode(ledger.chunk_record(job, 0)), encode(first));
-    EXPECT_EQ(encode(ledger.chunk_record(job, 1)), encode(second));
+    EXPECT_EQ(cluster.used_by("red").cpus, 2);
+    EXPECT_EQ(encode(cluster.chunk_record(job, 0)), encode(first));
+    EXPECT_EQ(encode(cluster.chunk_record(job, 1)), encode(second));
   }
 }
 
--- a/tests/relay_test.cpp
+++ b/tests/relay_test.cpp
@@ -1,11 +1,12 @@
-// Reports on their way to the leader: the relay's side, the homes of workers, and the batches.
+// Reports on their way to the leader: the relay's side, the relay_assignment of workers, and the
+// batches.
 #include "coordination/relay.hpp"
 
 #include <gtest/gtest.h>
 
 #include <deque>
 
-#include "coordination/homes.hpp"
+#include "coordination/relay_assignment.hpp"
 #include "support.hpp"
 
 namespace larkroad::coordination {
@@ -222,41 +223,41 @@
   for (const auto& response : heard) EXPECT_EQ(response.status, 503);
 }
 
-// ---------------------------------------------------------------- homes
+// ---------------------------------------------------------------- relay_assignment
 
 class HomesTest : public ::testing::Test {
  protected:
-  HomesTest() : settings(testing::settings()), homes(settings) {
-    homes.relays("node-1", 0);  // in the west
-    homes.relays("node-2", 0);  // in the east
+  HomesTest() : settings(testing::settings()), relay_assignment(settings) {
+    relay_assignment.relays("node-1", 0);  // in the west
+    relay_assignment.relays("node-2", 0);  // in the east
   }
   // Workers from `from` to `to` come straight to the leader; how many were sent on, and where to.
   std::map<std::string, int> come(int from, int to, Seconds now) {
     std::map<std::string, int> out;
     for (int i = from; i < to; ++i) {
       const std::string name = "i-" + std::to_string(i);
-      const auto home = homes.elsewhere(name, "east", "", now);
+      const auto home = relay_assignment.elsewhere(name, "east", "", now);
       ++out[home.value_or("")];
-      if (!home) homes.reported(name, "", now);
+      if (!home) relay_assignment.reported(name, "", now);
     }
     return out;
   }
   Settings settings;
-  Homes homes;
-  const int own = static_cast<int>(homes.share(""));
-  const int relay = static_cast<int>(homes.share("node-1"));
+  RelayAssignment relay_assignment;
+  const int own = static_cast<int>(relay_assignment.share(""));
+  const int relay = static_cast<int>(relay_assignment.share("node-1"));
 };
 
 TEST_F(HomesTest, KeepAFewWorkersTogether) {
   EXPECT_EQ(come(0, own, 1), (std::map<std::string, int>{{"", own}}));
-  EXPECT_FALSE(homes.spread());
+  EXPECT_FALSE(relay_assignment.spread());
 }
 
 TEST_F(HomesTest, SpreadManyOverTheRelaysTheirOwnZoneFirst) {
   EXPECT_GT(relay, own);
   EXPECT_EQ(come(0, own + relay + 5, 1),
             (std::map<std::string, int>{{"", own}, {"node-1", 5}, {"node-2", relay}}));
-  EXPECT_TRUE(homes.spread());
+  EXPECT_TRUE(relay_assignment.spread());
   // Those who are seated stay.
   EXPECT_EQ(come(0, own, 2), (std::map<std::string, int>{{"", own}}));
 }
@@ -274,21 +275,21 @@
 
 TEST_F(HomesTest, ARelayWithTooManyPassesThemOn) {
   for (size_t i = 0; i < static_cast<size_t>(relay); ++i) {
-    homes.reported("i-" + std::to_string(i), "node-1", 1);
+    relay_assignment.reported("i-" + std::to_string(i), "node-1", 1);
   }
-  EXPECT_EQ(homes.elsewhere("i-0", "west", "node-1", 1), std::nullopt);
-  EXPECT_EQ(homes.elsewhere("i-900", "west", "node-1", 1), "node-2");
+  EXPECT_EQ(relay_assignment.elsewhere("i-0", "west", "node-1", 1), std::nullopt);
+  EXPECT_EQ(relay_assignment.elsewhere("i-900", "west", "node-1", 1), "node-2");
 }
 
 TEST_F(HomesTest, WorkersComeBackWhenThereAreFew) {
   come(0, own + 1, 1);
-  ASSERT_TRUE(homes.spread());
-  homes.count(std::nullopt, 2);  // how many there are is not known yet
-  EXPECT_TRUE(homes.spread());
-  homes.count(own, 2);
-  EXPECT_TRUE(homes.spread());
-  homes.count(own / 2, 2);
-  EXPECT_FALSE(homes.spread());
+  ASSERT_TRUE(relay_assignment.spread());
+  relay_assignment.count(std::nullopt, 2);  // how many there are is not known yet
+  EXPECT_TRUE(relay_assignment.spread());
+  relay_assignment.count(own, 2);
+  EXPECT_TRUE(relay_assignment.spread());
+  relay_assignment.count(own / 2, 2);
+  EXPECT_FALSE(relay_assignment.spread());
 }
 
 }  // namespace
--- a/tests/sim/checker.hpp
+++ b/tests/sim/checker.hpp
@@ -7,7 +7,7 @@
 #include <string>
 #include <vector>
 
-#include "coordination/ledger.hpp"
+#include "coordination/cluster_state.hpp"
 #include "protocol/jobs.hpp"
 
 namespace larkroad::sim {
--- a/tests/support.hpp
+++ b/tests/support.hpp
@@ -1,9 +1,9 @@
-// What several tests share: a deployment of the tests' own, machines and jobs for a ledger.
+// What several tests share: a deployment of the tests' own, machines and jobs for a cluster.
 #pragma once
 
 #include <string>
 
-#include "coordination/ledger.hpp"
+#include "coordination/cluster_state.hpp"
 #include "settings.hpp"
 
 namespace larkroad::testing {
@@ -100,15 +100,15 @@
   return s;
 }
 
-inline coordination::Job& add(coordination::Ledger& ledger, const protocol::JobSpec& spec,
+inline coordination::Job& add(coordination::ClusterState& cluster, const protocol::JobSpec& spec,
                               double submitted_at = 0) {
-  return ledger.add_job(spec.id, {spec, submitted_at, 64, false}, 1);
+  return cluster.add_job(spec.id, {spec, submitted_at, 64, false}, 1);
 }
 
-inline coordination::Machine& up(coordination::Ledger& ledger, const std::string& name,
+inline coordination::Machine& up(coordination::ClusterState& cluster, const std::string& name,
                                  const std::string& type, const std::string& zone = "east",
                                  bool spot = false) {
-  auto& m = ledger.machine(name);
+  auto& m = cluster.machine(name);
   m.heard = true;
   m.present = true;
   m.session = 1;
@@ -117,7 +117,7 @@
   m.address = "10.0.0.1:1";
   m.rented_at = 0.001;
   m.reported_at = 1e6;  // later than any time of the tests: it goes on reporting
-  ledger.set_type(m, type);
+  cluster.set_type(m, type);
   return m;
 }
 
