--- a/tests/meetings_test.cpp
+++ b/tests/meetings_test.cpp
@@ -495,7 +495,7 @@
     EXPECT_TRUE(status == 409 || (leased && status == 400)) << which << ": " << status;
   }
   for (const char* which : {"submission", "cancellation", "placement", "completion", "end of a job",
-                            "leader key", "raised token", "images", "catalog"}) {
+                            "leader key", "raised token", "images", "catalog", "leftovers"}) {
     EXPECT_GT(seen[which], 0) << which;
   }
   EXPECT_FALSE(world.has_keys("j/") || world.has_keys("p/"));
