--- a/tests/operations_test.cpp
+++ b/tests/operations_test.cpp
@@ -146,6 +146,39 @@
   expect_no_breach(world);
 }
 
+// A machine begins a new session in the moment between the record of a placement and its launch.
+// The launch was meant for the old session; sent under the new one it would run a task that has
+// been given to another machine by then.
+TEST(Operations, ALaunchIsNotSentToTheNextSession) {
+  for (const std::uint64_t seed : {1, 2, 3, 4, 5}) {
+    SCOPED_TRACE("seed " + std::to_string(seed));
+    Troubles troubles;
+    troubles.fetch = 0.005;  // it runs before the leader hears of it
+    World world(seed, troubles);
+    world.submit_some(60, 60);
+    size_t seen = 0;
+    size_t restarts = 0;
+    std::function<void()> look = [&] {
+      for (; seen < world.commits.size(); ++seen) {
+        const bool placement = world.commits[seen].second.body.find("\"p/") != std::string::npos;
+        if (!placement || world.events.now() > 100) continue;
+        for (const auto& worker : world.workers) {
+          if (worker->gone || world.chance() > 0.1) continue;
+          worker->restart();
+          ++restarts;
+        }
+      }
+      world.events.at(world.events.now() + 0.001, look);
+    };
+    world.events.at(5, look);
+    world.checker.troubles_over(110);
+    world.run(250);
+    EXPECT_GT(restarts, 50u);
+    EXPECT_TRUE(world.all_over()) << world.unfinished();
+    expect_no_breach(world);
+  }
+}
+
 // Tasks of one machine that are stopped for one job are told in one call: each call costs the
 // leader as much as a report, and an incident had several hundred of them a second.
 TEST(Operations, CommandsForOneMachineGoInOneCall) {
