Reports reach the leader by way of the state service where zones cannot reach each other

Change: a relay that has not reached the leader for longer than that would keep the lead if it had ended writes its batches to keys of its own; the leader sees them by a watch and answers in the same way, guarded by its key. It is the leader's own answer to that very report as before, and late copies change nothing. Used once all controllers know of it.

--- a/src/coordination/leader.hpp
+++ b/src/coordination/leader.hpp
@@ -40,11 +40,15 @@
   // time. False when the job is not known here.
   bool cancelled_elsewhere(const std::string& id);
 
+  // How a batch came. A relay that cannot reach the leader reaches none of the nodes to which its
+  // workers could be sent on either.
+  enum class RelayRoute { direct, state_service };
   // A worker's report, when this node may answer for the leader; `via`: the node that relays it,
   // empty when it came here.
-  transport::Response checkin(const protocol::Report& report, const std::string& via = "");
+  transport::Response checkin(const protocol::Report& report, const std::string& via = "",
+                              RelayRoute route = RelayRoute::direct);
   // The reports that a relay hands on, and the answers for their workers.
-  std::vector<protocol::RelayedAnswer> relayed(const protocol::RelayBatch& batch);
+  std::vector<protocol::RelayedAnswer> relayed(const protocol::RelayBatch& batch, RelayRoute route);
   // Whether a batch for the leader with this token is for this leadership.
   bool is_token(std::uint64_t token) const;
   RelayAssignment& relay_assignment() { return relay_assignment_; }
--- a/src/coordination/leader_workers.cpp
+++ b/src/coordination/leader_workers.cpp
@@ -43,9 +43,13 @@
 
 }  // namespace
 
-transport::Response Leader::checkin(const protocol::Report& report, const std::string& via) {
+transport::Response Leader::checkin(const protocol::Report& report, const std::string& via,
+                                    RelayRoute route) {
   const Seconds now = clock_.now();
-  if (const auto home = relay_assignment_.elsewhere(report.machine, report.zone, via, now)) {
+  const bool may_send_on = route == RelayRoute::direct;
+  if (const auto home = may_send_on
+                            ? relay_assignment_.elsewhere(report.machine, report.zone, via, now)
+                            : std::nullopt) {
     return {421, protocol::encode_redirect(*home), 0, true};
   }
   relay_assignment_.reported(report.machine, via, now);
@@ -81,7 +85,8 @@
   return token >= first_token_ && token <= election_.token();
 }
 
-std::vector<protocol::RelayedAnswer> Leader::relayed(const protocol::RelayBatch& batch) {
+std::vector<protocol::RelayedAnswer> Leader::relayed(const protocol::RelayBatch& batch,
+                                                     RelayRoute route) {
   relay_assignment_.relays(batch.member, clock_.now());
   std::vector<protocol::RelayedAnswer> out;
   for (const auto& item : batch.reports) {
@@ -108,7 +113,7 @@
       out.push_back({503, ""});
       continue;
     }
-    auto response = checkin(report, batch.member);
+    auto response = checkin(report, batch.member, route);
     // What the next ones may be told to be the same as.
     Machine* machine = item.words.empty() ? nullptr : cluster_.find_machine(report.machine);
     if (response.status == 200 && machine != nullptr &&
--- a/src/coordination/node.cpp
+++ b/src/coordination/node.cpp
@@ -38,18 +38,16 @@
       state_(clock, client, settings),
       catalog_(clock, client, state_, settings),
       versions_(clock, state_, settings),
-      election_(clock, state_, settings,
-                {[this] {
-                   take_share(true);
-                   leader_.begin(spread_);
-                 },
-                 [this] {
-                   take_share(false);
-                   leader_.end();
-                 }}),
+      election_(clock, state_, settings, {[this] { take_lead(); }, [this] { leave_lead(); }}),
       user_api_(clock, state_, catalog_, settings),
       leader_(clock, client, state_, election_, catalog_, settings),
-      relay_(clock, client, settings),
+      store_client_(clock, state_, settings),
+      store_server_(
+          clock, state_, settings, [this] { return election_.token(); },
+          [this](const protocol::RelayBatch& batch, const transport::Respond& respond) {
+            relayed_by_store(batch, respond);
+          }),
+      relay_(clock, client, store_client_, settings),
       cancellations_(clock, client, settings) {
   user_api_.on_cancelled = [this](const std::string& id) {
     leader_.cancelled_elsewhere(id);
@@ -71,6 +69,18 @@
   }
 }
 
+void Node::take_lead() {
+  take_share(true);
+  leader_.begin(spread_);
+  store_server_.begin();
+}
+
+void Node::leave_lead() {
+  take_share(false);
+  leader_.end();
+  store_server_.end();
+}
+
 void Node::start() {
   election_.start();
   catalog_.start();
@@ -197,7 +207,7 @@
     return;
   }
   aim_relay();
-  if (spread_ && relay_.works()) {
+  if ((spread_ && relay_.works()) || relay_.uses_store()) {
     relay_.take(std::move(body), std::move(report), std::move(respond));
     return;
   }
@@ -213,6 +223,8 @@
   } else {
     relay_.aim(election_.leader(), election_.leader_mark());
   }
+  // A leader of the first version would not look there.
+  relay_.allow_store(state_.failing_for() == 0 && versions_.all_understand(kServicesVersion));
 }
 
 bool Node::is_peer(const std::string& member) const {
@@ -232,10 +244,10 @@
   respond({200, "{}", 0});
 }
 
-void Node::relayed(const protocol::RelayBatch& batch, const transport::Respond& respond,
-                   Seconds until) {
+void Node::relayed(const protocol::RelayBatch& batch, Leader::RelayRoute route,
+                   const transport::Respond& respond, Seconds until) {
   if (must_wait_for_loading(until)) {
-    after_loading_pause([=, this] { relayed(batch, respond, until); });
+    after_loading_pause([=, this] { relayed(batch, route, respond, until); });
     return;
   }
   if (!election_.may_answer_reports()) {
@@ -243,10 +255,17 @@
   } else if (!leader_.is_token(batch.token)) {
     respond({409, protocol::encode_token(election_.token()), 0});
   } else {
-    respond({200, protocol::encode_batch_answers(leader_.relayed(batch)), 0});
+    respond({200, protocol::encode_batch_answers(leader_.relayed(batch, route)), 0});
   }
 }
 
+void Node::relayed_by_store(const protocol::RelayBatch& batch, const transport::Respond& respond) {
+  if (batch.member == settings_.member) return;  // of when another one led
+  if (!is_peer(batch.member)) throw protocol::Malformed("no peer: " + batch.member);
+  relayed(batch, Leader::RelayRoute::state_service, respond,
+          clock_.now() + settings_.report_s * kLoadingRatio);
+}
+
 void Node::mind_workers() {
   if (!election_.leads()) return;
   const Seconds now = clock_.now();
@@ -317,7 +336,8 @@
       if (!is_peer(batch.member)) {
         throw protocol::Malformed("a batch from " + batch.member + ", which is no peer");
       }
-      relayed(batch, respond, clock_.now() + settings_.report_s * kLoadingRatio);
+      relayed(batch, Leader::RelayRoute::direct, respond,
+              clock_.now() + settings_.report_s * kLoadingRatio);
       return;
     }
     if (request.target == Cancellations::kPath) {
--- a/src/coordination/node.hpp
+++ b/src/coordination/node.hpp
@@ -7,6 +7,7 @@
 #include "coordination/leader.hpp"
 #include "coordination/member_versions.hpp"
 #include "coordination/relay.hpp"
+#include "coordination/store_relay.hpp"
 #include "coordination/user_api.hpp"
 #include "settings.hpp"
 #include "storage/state_client.hpp"
@@ -35,7 +36,12 @@
   void checkin(std::string body, transport::Respond respond);
   void serve_report(std::string body, protocol::Report report, transport::Respond respond,
                     Seconds until);
-  void relayed(const protocol::RelayBatch& batch, const transport::Respond& respond, Seconds until);
+  void take_lead();
+  void leave_lead();
+  // A batch that came by way of the state service.
+  void relayed_by_store(const protocol::RelayBatch& batch, const transport::Respond& respond);
+  void relayed(const protocol::RelayBatch& batch, Leader::RelayRoute route,
+               const transport::Respond& respond, Seconds until);
   // A leader that still reads the records has its workers wait for that a little.
   bool must_wait_for_loading(Seconds until) const;
   void after_loading_pause(std::function<void()> again);
@@ -66,6 +72,8 @@
   Election election_;
   UserApi user_api_;
   Leader leader_;
+  StoreRelayClient store_client_;
+  StoreRelayServer store_server_;
   Relay relay_;
   Cancellations cancellations_;
   // The newest leader that a peer has said to be, and when.
--- a/src/coordination/relay.cpp
+++ b/src/coordination/relay.cpp
@@ -22,11 +22,19 @@
 // The leader counts as reached for this many report intervals after an answer.
 constexpr double kReachedReports = 1;
 constexpr double kToldLeases = 2;
+// The same on the way by the state service, which gathers for longer.
+constexpr Seconds kStoreAnswerWithin = 3.5;
+// A leader that has ended loses its key after a sixth of the workers' lease. One that cannot be
+// reached for longer is cut off.
+constexpr double kCutOffRatio = 1.0 / 5;
+// What quotes and names add to a report's text in a value.
+constexpr double kQuotedRatio = 1.25;
 
 }  // namespace
 
-Relay::Relay(transport::Clock& clock, transport::Client& client, const Settings& settings)
-    : clock_(clock), client_(client), settings_(settings) {
+Relay::Relay(transport::Clock& clock, transport::Client& client, StoreRelayClient& store,
+             const Settings& settings)
+    : clock_(clock), client_(client), store_(store), settings_(settings) {
   forget_old();
 }
 
@@ -36,13 +44,20 @@
   leader_ = member;
   endpoint_.clear();
   reached_at_ = -1;
+  unreached_since_ = clock_.now();
   for (const auto& peer : settings_.peers) {
     if (peer.member == member) endpoint_ = peer.addr.text();
   }
 }
 
 void Relay::reached(const std::string& member, bool answered) {
-  if (member == leader_) reached_at_ = answered ? clock_.now() : -1;
+  if (member != leader_) return;
+  reached_at_ = answered ? clock_.now() : -1;
+  if (answered) unreached_since_ = clock_.now();
+}
+
+bool Relay::cut_off() const {
+  return !endpoint_.empty() && clock_.now() - unreached_since_ > settings_.lease_s * kCutOffRatio;
 }
 
 bool Relay::works() const {
@@ -55,8 +70,9 @@
 }
 
 void Relay::take(std::string words, protocol::Report report, transport::Respond respond) {
-  Waiting item{std::move(words), std::move(report), std::move(respond),
-               clock_.now() + kAnswerWithin, false};
+  const Seconds within = uses_store() ? kStoreAnswerWithin : kAnswerWithin;
+  Waiting item{std::move(words), std::move(report), std::move(respond), clock_.now() + within,
+               false};
   // No more than there can be workers connected: what a relay holds is bounded.
   if (queue_.size() >= static_cast<size_t>(settings_.sockets)) {
     give_up(item);
@@ -67,9 +83,10 @@
 }
 
 void Relay::arm() {
-  if (armed_ || queue_.empty() || under_way_ >= kMostUnderWay) return;
+  if (armed_ || queue_.empty() || room_under_way() == 0) return;
   armed_ = true;
-  clock_.after(settings_.report_s * kGatherRatio, [this] {
+  const Seconds gather = uses_store() ? store_.gather_time() : settings_.report_s * kGatherRatio;
+  clock_.after(gather, [this] {
     armed_ = false;
     send();
   });
@@ -77,10 +94,13 @@
 
 void Relay::send() {
   const Seconds now = clock_.now();
-  while (!queue_.empty() && under_way_ < kMostUnderWay) {
+  while (!queue_.empty() && room_under_way() > 0) {
     Items items;
     size_t bytes = 0;
-    while (!queue_.empty() && bytes < kBatchBytes) {
+    const size_t most = uses_store() ? store_.batch_bytes() : kBatchBytes;
+    while (!queue_.empty()) {
+      const size_t next = bytes_of(queue_.front());
+      if (!items.empty() && bytes + next > most) break;
       Waiting item = std::move(queue_.front());
       queue_.pop_front();
       // One that is nearly due could not be answered in time any more.
@@ -88,23 +108,39 @@
         give_up(item);
         continue;
       }
-      bytes += kUnchangedBytes + item.words.size();
+      bytes += next;
       items.push_back(std::move(item));
     }
     if (!items.empty()) put(std::move(items), false);
   }
 }
 
+bool Relay::told_before(const Waiting& item) const {
+  const auto told = told_.find(item.report.machine);
+  return !item.whole && told != told_.end() &&
+         protocol::unchanged(told->second.report, item.report);
+}
+
+size_t Relay::bytes_of(const Waiting& item) const {
+  if (!uses_store()) return kUnchangedBytes + item.words.size();
+  if (told_before(item)) return kUnchangedBytes;
+  return static_cast<size_t>(static_cast<double>(item.words.size()) * kQuotedRatio);
+}
+
+size_t Relay::room_under_way() const {
+  if (uses_store()) return store_.has_free_slot() ? 1 : 0;
+  return under_way_ < kMostUnderWay ? 1 : 0;
+}
+
 void Relay::put(Items items, bool repeated) {
   protocol::RelayBatch batch{settings_.member, token_, {}};
   Seconds until = items.front().until;
   for (const auto& item : items) {
     until = std::min(until, item.until);
     const auto& report = item.report;
-    const auto told = told_.find(report.machine);
     protocol::RelayedReport out;
-    if (!item.whole && told != told_.end() && protocol::unchanged(told->second.report, report)) {
-      out = {"", report.machine, report.session, report.tick, told->second.report.tick};
+    if (told_before(item)) {
+      out = {"", report.machine, report.session, report.tick, told_.at(report.machine).report.tick};
     } else {
       out.words = item.words;
     }
@@ -112,16 +148,22 @@
   }
   ++under_way_;
   auto kept = std::make_shared<Items>(std::move(items));
-  client_.call(endpoint_, {"POST", protocol::kRelayPath, protocol::encode_batch(batch)},
-               std::max(0.0, until - clock_.now()),
-               [this, kept, repeated](transport::Outcome outcome, transport::Response response) {
-                 --under_way_;
-                 answered(std::move(*kept), repeated, outcome, response);
-                 arm();
-               });
+  const bool by_store = uses_store();
+  const auto done = [this, kept, repeated, by_store](transport::Outcome outcome,
+                                                     const transport::Response& response) {
+    --under_way_;
+    answered(std::move(*kept), repeated, by_store, outcome, response);
+    arm();
+  };
+  if (by_store) {
+    store_.send(batch, until, done);
+  } else {
+    client_.call(endpoint_, {"POST", protocol::kRelayPath, protocol::encode_batch(batch)},
+                 std::max(0.0, until - clock_.now()), done);
+  }
 }
 
-void Relay::answered(Items items, bool repeated, transport::Outcome outcome,
+void Relay::answered(Items items, bool repeated, bool by_store, transport::Outcome outcome,
                      const transport::Response& response) {
   std::vector<protocol::RelayedAnswer> answers;
   if (outcome == transport::Outcome::answered) {
@@ -142,12 +184,12 @@
     }
   }
   if (answers.size() != items.size()) {
-    reached_at_ = -1;
+    if (!by_store) reached_at_ = -1;
     for (const auto& item : items) give_up(item);
     return;
   }
   const Seconds now = clock_.now();
-  reached_at_ = now;
+  if (!by_store) reached_at_ = unreached_since_ = now;
   for (size_t i = 0; i < items.size(); ++i) {
     Waiting& item = items[i];
     if (answers[i].status == protocol::kNeedsWords) {
--- a/src/coordination/relay.hpp
+++ b/src/coordination/relay.hpp
@@ -8,6 +8,7 @@
 #include <unordered_map>
 #include <vector>
 
+#include "coordination/store_relay.hpp"
 #include "protocol/relay.hpp"
 #include "protocol/workers.hpp"
 #include "settings.hpp"
@@ -19,7 +20,8 @@
 
 class Relay {
  public:
-  Relay(transport::Clock& clock, transport::Client& client, const Settings& settings);
+  Relay(transport::Clock& clock, transport::Client& client, StoreRelayClient& store,
+        const Settings& settings);
 
   // Who leads, as far as this node knows; an empty name: nobody.
   void aim(const std::string& member, std::uint64_t token);
@@ -28,6 +30,12 @@
   void reached(const std::string& member, bool answered);
   // Whether the leader has answered this node lately.
   bool works() const;
+  // Whether the leader is known, but has answered nothing for longer than it would keep the lead if
+  // it had ended: it can only be reached by way of the state service.
+  bool cut_off() const;
+  // Whether batches may go by way of the state service when the leader cannot be reached.
+  void allow_store(bool allowed) { store_allowed_ = allowed; }
+  bool uses_store() const { return store_allowed_ && !works() && cut_off(); }
   // `words` is the report as its worker sent it.
   void take(std::string words, protocol::Report report, transport::Respond respond);
 
@@ -42,7 +50,11 @@
   using Items = std::vector<Waiting>;
   void arm();
   void send();
-  void answered(Items items, bool repeated, transport::Outcome outcome,
+  size_t room_under_way() const;
+  // Whether the leader has answered a report that says the same.
+  bool told_before(const Waiting& item) const;
+  size_t bytes_of(const Waiting& item) const;
+  void answered(Items items, bool repeated, bool by_store, transport::Outcome outcome,
                 const transport::Response& response);
   void put(Items items, bool repeated);
   static void give_up(const Waiting& item);
@@ -50,11 +62,14 @@
 
   transport::Clock& clock_;
   transport::Client& client_;
+  StoreRelayClient& store_;
   const Settings& settings_;
   std::string leader_;
   std::string endpoint_;
   std::uint64_t token_ = 0;
   Seconds reached_at_ = -1;
+  Seconds unreached_since_ = 0;  // the leader has not answered since then
+  bool store_allowed_ = false;
   std::deque<Waiting> queue_;
   int under_way_ = 0;
   bool armed_ = false;
--- a/src/storage/records.cpp
+++ b/src/storage/records.cpp
@@ -12,6 +12,12 @@
 
 std::string job_key(const std::string& id) { return kJobPrefix + id; }
 std::string finished_key(const std::string& id) { return "d/" + id; }
+std::string relay_request_key(const std::string& member, const std::string& slot) {
+  return kRelayRequestPrefix + member + "/" + slot;
+}
+std::string relay_answer_key(const std::string& member, const std::string& slot) {
+  return "a/" + member + "/" + slot;
+}
 std::string version_key(const std::string& member) { return kVersionPrefix + member; }
 std::string placement_key(const std::string& id, std::uint32_t chunk) {
   return kPlacementPrefix + id + "/" + std::to_string(chunk);
@@ -105,6 +111,26 @@
   return out;
 }
 
+Json encode(const RelayRequestRecord& record) {
+  return Json{{"number", record.number},
+              {"batch", Json::parse(protocol::encode_batch(record.batch))}};
+}
+
+RelayRequestRecord decode_relay_request(const Json& data) {
+  return {protocol::integer(data, "number"),
+          protocol::parse_batch(protocol::need(data, "batch").dump())};
+}
+
+Json encode(const RelayAnswerRecord& record) {
+  return Json{
+      {"number", record.number}, {"status", record.status}, {"body", Json::parse(record.body)}};
+}
+
+RelayAnswerRecord decode_relay_answer(const Json& data) {
+  return {protocol::integer(data, "number"), static_cast<int>(protocol::integer(data, "status")),
+          protocol::need(data, "body").dump()};
+}
+
 Json encode_version(std::uint64_t version) { return Json{{"version", version}}; }
 
 std::uint64_t decode_version(const Json& data) { return protocol::integer(data, "version"); }
--- a/src/storage/records.hpp
+++ b/src/storage/records.hpp
@@ -6,6 +6,8 @@
 //   p/ID/CHUNK      where the job's tasks are placed and which are done, a range of tasks each
 //   d/ID            a job that is over, for good
 //   m/MACHINE       the images a machine is known to hold: a help to a new leader, nothing more
+//   q/MEMBER/SLOT   a batch of reports that a relay cannot hand to the leader directly
+//   a/MEMBER/SLOT   the leader's answer to it
 //   v/MEMBER        the version of records and messages that a controller understands
 #pragma once
 
@@ -14,6 +16,7 @@
 #include <vector>
 
 #include "protocol/jobs.hpp"
+#include "protocol/relay.hpp"
 
 namespace larkroad::storage {
 
@@ -25,9 +28,12 @@
 inline constexpr const char* kPlacementPrefix = "p/";
 inline constexpr const char* kMachinePrefix = "m/";
 inline constexpr const char* kVersionPrefix = "v/";
+inline constexpr const char* kRelayRequestPrefix = "q/";
 
 std::string job_key(const std::string& id);
 std::string finished_key(const std::string& id);
+std::string relay_request_key(const std::string& member, const std::string& slot);
+std::string relay_answer_key(const std::string& member, const std::string& slot);
 std::string version_key(const std::string& member);
 std::string placement_key(const std::string& id, std::uint32_t chunk);
 // The job id and chunk that a placement key names; false when it is not one.
@@ -70,6 +76,22 @@
 Json encode_version(std::uint64_t version);
 std::uint64_t decode_version(const Json& data);
 
+// A batch of reports and its answer, told from earlier ones in the same place by a number.
+struct RelayRequestRecord {
+  std::uint64_t number = 0;
+  protocol::RelayBatch batch;
+};
+Json encode(const RelayRequestRecord& record);
+RelayRequestRecord decode_relay_request(const Json& data);
+
+struct RelayAnswerRecord {
+  std::uint64_t number = 0;
+  int status = 0;  // as on the direct way
+  std::string body;
+};
+Json encode(const RelayAnswerRecord& record);
+RelayAnswerRecord decode_relay_answer(const Json& data);
+
 // How many tasks share a placement record, so that its worst case fits the service's value limit.
 std::uint32_t tasks_per_chunk(double value_kb);
 
--- a/tests/relay_test.cpp
+++ b/tests/relay_test.cpp
@@ -86,7 +86,11 @@
 
 class RelayTest : public ::testing::Test {
  protected:
-  RelayTest() : settings(testing::settings()), relay(clock, client, settings) {
+  RelayTest()
+      : settings(testing::settings()),
+        state(clock, client, settings),
+        store(clock, state, settings),
+        relay(clock, client, store, settings) {
     relay.aim("node-1", 5);
     relay.reached("node-1", true);
   }
@@ -108,6 +112,8 @@
   Settings settings;
   FakeClock clock;
   FakeClient client;
+  storage::StateClient state;
+  StoreRelayClient store;
   Relay relay;
   std::vector<Response> heard;
 };
--- a/tests/sim/world.cpp
+++ b/tests/sim/world.cpp
@@ -224,6 +224,23 @@
   cuts_[ordered(a, b)] = events.now() + length;
 }
 
+void World::cut_zones(Seconds length) { zones_apart_until_ = events.now() + length; }
+
+std::string World::zone_of(const std::string& host) const {
+  if (host.starts_with("node-")) return zone_of_node(static_cast<size_t>(host.back() - '0'));
+  for (const auto& worker : workers) {
+    if (worker->name == host) return worker->zone;
+  }
+  return "";  // of the region
+}
+
+bool World::zones_apart(const std::string& a, const std::string& b) const {
+  if (zones_apart_until_ <= events.now()) return false;
+  const std::string zone = zone_of(a);
+  const std::string other = zone_of(b);
+  return !zone.empty() && !other.empty() && zone != other;
+}
+
 void World::freeze(size_t node, Seconds length) {
   frozen_["node-" + std::to_string(node)] = events.now() + length;
 }
@@ -316,8 +333,8 @@
   const Seconds there = 0.001 + chance() * 0.004;
   bool sent = true;
   Seconds arrives = now + there;
-  if (const auto it = refused_.find({from, group_of(to)});
-      it != refused_.end() && it->second > now) {
+  const auto refusal = refused_.find({from, group_of(to)});
+  if ((refusal != refused_.end() && refusal->second > now) || zones_apart(from, to)) {
     events.at(now + there, [finish] { finish(Outcome::not_sent, {}); });
     return;
   }
@@ -357,7 +374,7 @@
   const Seconds back = 0.001 + (slow ? chance() * 3.9 : chance() * 0.004);
   events.at(arrives, [this, from, to, address, request = std::move(request), finish, lost, back] {
     deliver(from, address, request, [this, from, to, finish, lost, back](const Response& response) {
-      if (lost || is_cut(from, to) || is_deaf(from)) return;
+      if (lost || is_cut(from, to) || zones_apart(from, to) || is_deaf(from)) return;
       events.at(events.now() + back, [finish, response] { finish(Outcome::answered, response); });
     });
   });
--- a/tests/sim/world.hpp
+++ b/tests/sim/world.hpp
@@ -206,6 +206,10 @@
   }
   // Hosts are "node-0", "state", "cloud", "users", a machine's name, or "workers" for them all.
   void cut(const std::string& a, const std::string& b, Seconds length);
+  // Cuts the zones off from each other: their nodes and machines. The zone of a node is as in
+  // zone_of_node.
+  void cut_zones(Seconds length);
+  static const char* zone_of_node(size_t node) { return node == 1 ? "west" : "east"; }
   // Connections from the one to the other are refused.
   void refuse(const std::string& from, const std::string& to, Seconds length) {
     refused_[{from, to}] = events.now() + length;
@@ -279,6 +283,8 @@
   static std::string group_of(const std::string& host);
   bool is_cut(const std::string& a, const std::string& b) const;
   bool is_deaf(const std::string& host) const;
+  std::string zone_of(const std::string& host) const;
+  bool zones_apart(const std::string& a, const std::string& b) const;
   Seconds cut_ends(const std::string& a, const std::string& b) const;
   std::string host_of(const std::string& address) const;
   // What a node of the first version sends in place of this request; nothing when that is nothing.
@@ -301,6 +307,7 @@
   std::map<std::pair<std::string, std::string>, Seconds> refused_;
   std::map<std::string, Seconds> deaf_;  // until when
   std::map<std::string, Seconds> mute_;
+  Seconds zones_apart_until_ = 0;
   std::map<std::string, Seconds> frozen_;
   std::map<std::string, Request> last_report_;
   std::map<std::string, std::vector<std::pair<Seconds, std::uint32_t>>> starts_;
