Machines that fail tasks at their start are told by jobs that start elsewhere

Ruled out: room (idle machines) and images (there within 15 s).

Change: a failure at the start, of a job that has started elsewhere, is the machine's; two in a row put it aside, and the job does not wait. A failure later than at the start withdraws that evidence.

--- a/src/coordination/cluster_state.cpp
+++ b/src/coordination/cluster_state.cpp
@@ -69,6 +69,15 @@
   });
 }
 
+bool Job::started_beside(const std::string& machine) const {
+  return started_on.size() > started_on.count(machine);
+}
+
+void Job::note_start(const std::string& machine) {
+  // Two tell for any machine whether there is another one.
+  if (started_on.size() < 2) started_on.insert(machine);
+}
+
 bool Job::over() const { return done_count == spec.tasks || (cancelled && live.empty()); }
 
 std::uint32_t Job::running() const {
--- a/src/coordination/cluster_state.hpp
+++ b/src/coordination/cluster_state.hpp
@@ -121,6 +121,9 @@
   // Since a task of it last succeeded: failures in a row, and the machines that they were on.
   int failures = 0;
   std::set<std::string> failed_on;
+  // Machines on which a task of it got past its start, two at most; none since one failed later
+  // than at its start. A job with a mistake fails at its start wherever it runs.
+  std::set<std::string> started_on;
   std::map<std::uint32_t, ReplicaRestarts> restarts;  // of a service, by replica
   Seconds replica_lost_at = -1;                       // when a service last lost a replica
   Seconds last_placed_at = -1;                        // of any of its tasks; see SchedulingCycle
@@ -129,7 +132,12 @@
 
   const std::string& id() const { return spec.id; }
   // It fails wherever it runs, as one that was submitted with a mistake does.
-  bool fails_everywhere() const { return failed_on.size() >= kFailsEverywhere; }
+  bool fails_everywhere() const {
+    return failed_on.size() >= kFailsEverywhere && started_on.empty();
+  }
+  // Whether a task of it got past its start on another machine.
+  bool started_beside(const std::string& machine) const;
+  void note_start(const std::string& machine);
   // For the choice of what is stopped for others: what has aged would else be stopped at once for
   // the very work that it was placed before, again and again.
   protocol::Priority standing() const {
@@ -185,6 +193,7 @@
   // Since a task last succeeded on it: failures of jobs that are not at fault, and of which jobs.
   int failures = 0;
   std::set<std::string> failed_jobs;
+  int failed_starts = 0;      // in a row, of tasks of jobs that start elsewhere
   Seconds refused_until = 0;  // it said `full`: its room is not what it seems
   Seconds idle_since = 0;
   Resources capacity;
--- a/src/coordination/leader.hpp
+++ b/src/coordination/leader.hpp
@@ -109,7 +109,9 @@
   void process_task(Machine& machine, const protocol::TaskReport& task, Commands& commands);
   bool may_forget(Machine& machine, const protocol::TaskReport& task);
   void exited(Machine& machine, Job& job, const protocol::TaskReport& task);
+  void failed(Machine& machine, Job& job, const Placement& placement);
   void blame(Machine& machine, Job& job);
+  static void quarantine(Machine& machine);
   void back_off(Job& job);
   void replica_runs(Machine& machine, Job& job, Placement& replica);
   void replica_ended(Job& job, const Placement& replica);
--- a/src/coordination/leader_workers.cpp
+++ b/src/coordination/leader_workers.cpp
@@ -24,6 +24,9 @@
 constexpr int kEvidence = 6;
 constexpr int kFailingJobWeight = 2;
 constexpr int kFailsEverywhereWeight = 1;
+// So many tasks in a row that fail at their start, of jobs that start elsewhere, put a machine
+// aside.
+constexpr int kFailedStarts = 2;
 // An error or a refusal keeps a job or a machine waiting for this many reports.
 constexpr double kPauseReports = 1;
 constexpr double kLongestPauseReports = 16;
@@ -294,6 +297,10 @@
                   : task.state == TaskState::running ? "running"
                                                      : "saving");
   }
+  if (has_image && placement->state == TaskState::fetching) {
+    job->note_start(machine.name);
+    machine.failed_starts = 0;
+  }
   placement->stage = Placement::Stage::held;
   placement->inherited = false;
   placement->state = task.state;
@@ -350,14 +357,7 @@
       request_plan();
       return;
     case ExitCause::error:
-      if (job.spec.is_service()) {
-        // One that fails again and again is itself at fault, though others of its job run.
-        if (job.restarts[task.id.task].ends < kBlamedEnds) blame(machine, job);
-        replica_ended(job, job.live.at(task.id.task));
-      } else {
-        blame(machine, job);
-        back_off(job);
-      }
+      failed(machine, job, job.live.at(task.id.task));
       break;
     case ExitCause::full:
       machine.refused_until = now + settings_.report_s * kPauseReports;
@@ -375,6 +375,32 @@
   if (job.spec.is_gang() && job.spec.tasks > 1) break_gang(job, protocol::cause_name(task.cause));
 }
 
+void Leader::failed(Machine& machine, Job& job, const Placement& placement) {
+  const bool at_its_start = placement.state == TaskState::fetching;
+  if (!at_its_start) job.started_on.clear();
+  // A task that fails at its start, of a job whose tasks start elsewhere: the machine is at fault,
+  // and the job need not wait.
+  if (at_its_start && job.started_beside(machine.name)) {
+    job.failed_on.insert(machine.name);
+    if (++machine.failed_starts >= kFailedStarts) quarantine(machine);
+    return;
+  }
+  if (job.spec.is_service()) {
+    // One that fails again and again is itself at fault, though others of its job run.
+    if (job.restarts[placement.task].ends < kBlamedEnds) blame(machine, job);
+    replica_ended(job, placement);
+  } else {
+    blame(machine, job);
+    back_off(job);
+  }
+}
+
+void Leader::quarantine(Machine& machine) {
+  if (machine.quarantined) return;
+  spdlog::info("machine {} is put aside: every task fails on it", machine.name);
+  machine.quarantined = true;
+}
+
 // Mostly the machine is faulty. But a job that was submitted with a mistake fails wherever it runs,
 // and its failures say little of the machines. So a machine is suspected when several jobs fail on
 // it with none that succeeds, or a few tasks of one that succeeds elsewhere. Jobs that fail
@@ -396,9 +422,7 @@
     if (other->succeeds_beside(machine.name)) evidence += kEvidence;
     evidence += other->fails_everywhere() ? kFailsEverywhereWeight : kFailingJobWeight;
   }
-  if (evidence < kEvidence) return;
-  spdlog::info("machine {} is put aside: every task fails on it", machine.name);
-  machine.quarantined = true;
+  if (evidence >= kEvidence) quarantine(machine);
 }
 
 // A replica that has run for a while shows that neither its job nor its machine is at fault.
--- a/tests/operations_test.cpp
+++ b/tests/operations_test.cpp
@@ -110,6 +110,73 @@
   }
 }
 
+// Where many machines fail whatever starts there, gangs find the sound ones soon: a gang of which
+// some start elsewhere tells that the machine is at fault, and does not wait for it.
+TEST(Operations, GangsFindTheSoundMachinesAmongFaultyOnes) {
+  for (const std::uint64_t seed : {1, 2, 3}) {
+    SCOPED_TRACE("seed " + std::to_string(seed));
+    World world(seed, {});
+    world.capacity = 12;
+    JobSpec first = testing::spec("job-100", 12, 9);
+    first.types = {"large"};
+    first.team = "blue";
+    first.estimate_s = 25;
+    world.submit(first, 2);
+    world.events.at(28, [&world] {
+      for (size_t i = 0; i < world.workers.size(); i += 2) world.workers[i]->set_faulty();
+    });
+    for (int k = 0; k < 8; ++k) {
+      JobSpec gang = testing::spec("job-" + std::to_string(200 + k), 3, 5);
+      gang.shape = protocol::Shape::gang;
+      gang.team = k % 2 == 0 ? "red" : "blue";
+      gang.types = {"large"};
+      gang.estimate_s = 4;
+      world.submit(gang, 40 + 3 * k);
+    }
+    world.run(100);
+    EXPECT_TRUE(world.all_over()) << world.unfinished();
+    size_t failures = 0;
+    for (const auto& [id, times] : world.failures) failures += times.size();
+    EXPECT_GT(failures, 0u);
+    // Twice for each faulty machine that was there, and what had been placed meanwhile.
+    EXPECT_LE(failures, 3 * world.workers.size());
+    expect_no_breach(world);
+  }
+}
+
+// A job whose tasks fail some time after their start has a mistake as well: no machine is put aside
+// for it, though its tasks start everywhere.
+TEST(Operations, AJobThatFailsLateHarmsNoMachine) {
+  World world(1, {});
+  JobSpec sound = testing::spec("job-101", 3, 9);
+  sound.types = {"large"};
+  sound.estimate_s = 100;
+  sound.team = "blue";
+  world.submit(sound, 2);
+  JobSpec wrong = testing::spec("job-100", 6, 2);
+  wrong.types = {"large"};
+  wrong.estimate_s = 300;
+  world.submit(wrong, 15);
+  for (Seconds when = 20; when < 100; when += 0.5) {
+    world.events.at(when, [&world, when] {
+      world.end_task({"job-100", static_cast<std::uint32_t>(when * 2) % 6}, "error");
+    });
+  }
+  world.events.at(100, [&world] { world.cancel("job-100"); });
+  world.run(100);
+  EXPECT_GE(world.starts_of("job-100").size(), 12u);
+  const size_t machines = world.workers.size();
+  // Had they been put aside, others would be rented for what comes next.
+  sound.id = "job-102";
+  sound.estimate_s = 5;
+  world.submit(sound, 112);
+  world.run(135);
+  EXPECT_EQ(world.workers.size(), machines);
+  EXPECT_EQ(world.starts_of("job-101").size(), 3u);
+  EXPECT_TRUE(world.all_over()) << world.unfinished();
+  expect_no_breach(world);
+}
+
 // A machine that answers calls, but whose own reports have stopped, gets no new work: answers renew
 // no lease, so what starts there is lost when the lease is over.
 TEST(Operations, AMachineThatBringsNoReportsGetsNoWork) {
