--- a/tests/planner_test.cpp
+++ b/tests/planner_test.cpp
@@ -8,6 +8,8 @@
 namespace larkroad::coordination {
 namespace {
 
+using testing::service;
+
 class Planner : public ::testing::Test {
  protected:
   Planner() : settings(testing::settings()), cluster(settings) {
@@ -665,15 +667,6 @@
 
 // ---------------------------------------------------------------- services
 
-JobSpec service(const std::string& id, std::uint32_t replicas, double cpus = 1) {
-  JobSpec spec = testing::spec(id, replicas, cpus);
-  spec.shape = protocol::Shape::service;
-  spec.priority = protocol::Priority::production;
-  spec.job_class = "serving";
-  spec.estimate_s = 0;
-  return spec;
-}
-
 TEST_F(Planner, ReplicasOfAServiceGoToDifferentMachines) {
   for (const char* name : {"i-1", "i-2", "i-3"}) {
     testing::up(cluster, name, "large").images["image"] = {1, 0};
--- a/tests/services_test.cpp
+++ b/tests/services_test.cpp
@@ -8,19 +8,12 @@
 namespace larkroad::sim {
 namespace {
 
+using testing::service;
+
 void expect_no_breach(const World& world) {
   for (const auto& line : world.checker.broken()) ADD_FAILURE() << line;
 }
 
-JobSpec service(const std::string& id, std::uint32_t replicas = 3, double cpus = 2) {
-  JobSpec spec = testing::spec(id, replicas, cpus);
-  spec.shape = protocol::Shape::service;
-  spec.priority = protocol::Priority::production;
-  spec.job_class = "serving";
-  spec.estimate_s = 0;
-  return spec;
-}
-
 std::shared_ptr<Worker> machine_with(const World& world, const std::string& job) {
   for (const auto& worker : world.workers) {
     if (!worker->gone && worker->runs(job)) return worker;
@@ -70,7 +63,7 @@
   for (const auto& c : cases) {
     SCOPED_TRACE(c.name);
     World world(1, {});
-    world.submit(service("job-1"), 2);
+    world.submit(service("job-1", 3, 2), 2);
     world.run(40);
     ASSERT_EQ(world.running_tasks("job-1"), 3u);
     c.end_one(world);
@@ -93,7 +86,7 @@
   for (const char* cause : {"done", "error"}) {
     SCOPED_TRACE(cause);
     World world(1, {});
-    world.submit(service("job-1"), 2);
+    world.submit(service("job-1", 3, 2), 2);
     world.run(40);
     ASSERT_EQ(world.running_tasks("job-1"), 3u);
     for (Seconds when = 40; when < 160; when += 0.5) {
--- a/tests/support.hpp
+++ b/tests/support.hpp
@@ -100,6 +100,16 @@
   return s;
 }
 
+inline protocol::JobSpec service(const std::string& id, std::uint32_t replicas = 3,
+                                 double cpus = 1) {
+  protocol::JobSpec s = spec(id, replicas, cpus);
+  s.shape = protocol::Shape::service;
+  s.priority = protocol::Priority::production;
+  s.job_class = "serving";
+  s.estimate_s = 0;
+  return s;
+}
+
 inline coordination::Job& add(coordination::ClusterState& cluster, const protocol::JobSpec& spec,
                               double submitted_at = 0) {
   return cluster.add_job(spec.id, {spec, submitted_at, 64, false}, 1);
--- a/tests/upgrade_test.cpp
+++ b/tests/upgrade_test.cpp
@@ -8,6 +8,8 @@
 namespace larkroad::sim {
 namespace {
 
+using testing::service;
+
 constexpr StateLimits kNextLimits{1, 4, 35, 100};
 
 void expect_no_breach(const World& world) {
@@ -23,15 +25,6 @@
   return world.node(i).versions().all_understand(coordination::kServicesVersion);
 }
 
-JobSpec service(const std::string& id, std::uint32_t replicas = 3) {
-  JobSpec spec = testing::spec(id, replicas, 1);
-  spec.shape = protocol::Shape::service;
-  spec.priority = protocol::Priority::production;
-  spec.job_class = "serving";
-  spec.estimate_s = 0;
-  return spec;
-}
-
 std::string submission(const JobSpec& spec) {
   return Json{{"ref", spec.id},
               {"lane", spec.job_class},
