--- a/src/coordination/catalog.cpp
+++ b/src/coordination/catalog.cpp
@@ -44,7 +44,7 @@
                  if (stored_) return;
                  const auto record = storage::Json::parse(protocol::encode_catalog(types_));
                  const double most = settings_.lasting_state_limits().value_bytes();
-                 if (static_cast<double>(storage::encoded_size(record)) > most) {
+                 if (!storage::fits_value(record, most)) {
                    spdlog::info("the catalog is too large to be stored; nodes ask the cloud");
                    stored_ = true;
                    return;
--- a/src/coordination/cluster_state.cpp
+++ b/src/coordination/cluster_state.cpp
@@ -155,15 +155,10 @@
 
 void ClusterState::remove_job(const std::string& id) { jobs_.erase(id); }
 
-void ClusterState::load_chunk(Job& job, std::uint32_t chunk, const storage::ChunkRecord& record,
-                              std::uint64_t mark, std::uint64_t doubt_token, Seconds now) {
-  job.chunks[chunk] = {mark, record.attempt, false, 0};
-  const std::uint32_t first = chunk * job.chunk_tasks;
-  const std::uint32_t end = std::min(first + job.chunk_tasks, job.spec.tasks);
-  // A replica of a service is never done, whatever a controller that took it for an array's task
-  // has recorded.
-  const auto completed = job.spec.is_service() ? decltype(record.done){} : record.done;
-  for (const auto& [from, to] : completed) {
+void ClusterState::load_done(Job& job,
+                             const std::vector<std::pair<std::uint32_t, std::uint32_t>>& ranges,
+                             std::uint32_t end) {
+  for (const auto& [from, to] : ranges) {
     for (std::uint32_t task = from; task <= to && task < end; ++task) {
       if (!job.done[task]) {
         job.done[task] = true;
@@ -171,6 +166,16 @@
       }
     }
   }
+}
+
+void ClusterState::load_chunk(Job& job, std::uint32_t chunk, const storage::ChunkRecord& record,
+                              std::uint64_t mark, std::uint64_t doubt_token, Seconds now) {
+  job.chunks[chunk] = {mark, record.attempt, false, 0};
+  const std::uint32_t first = chunk * job.chunk_tasks;
+  const std::uint32_t end = std::min(first + job.chunk_tasks, job.spec.tasks);
+  // A replica of a service is never done, whatever a controller that took it for an array's task
+  // has recorded.
+  if (!job.spec.is_service()) load_done(job, record.done, end);
   for (const auto& placed : record.placed) {
     if (placed.task >= end || job.done[placed.task]) continue;
     Machine& m = machine(placed.machine);
--- a/src/coordination/cluster_state.hpp
+++ b/src/coordination/cluster_state.hpp
@@ -286,6 +286,10 @@
   const Settings& settings() const { return settings_; }
 
  private:
+  // Marks the tasks of these ranges as done, as far as they lie before `end`.
+  static void load_done(Job& job,
+                        const std::vector<std::pair<std::uint32_t, std::uint32_t>>& ranges,
+                        std::uint32_t end);
   void release(Job& job, std::uint32_t task, Seconds now);
 
   const Settings& settings_;
--- a/src/coordination/leader_records.cpp
+++ b/src/coordination/leader_records.cpp
@@ -312,8 +312,7 @@
     storage::Images images;
     for (auto& [used, image] : by_use) images.push_back(std::move(image));
     const double value_bytes = settings_.lasting_state_limits().value_bytes();
-    while (images.size() > 1 &&
-           static_cast<double>(storage::encoded_size(storage::encode(images))) > value_bytes) {
+    while (images.size() > 1 && !storage::fits_value(storage::encode(images), value_bytes)) {
       images.erase(images.begin());
     }
     machine.images_changed = false;
--- a/src/coordination/leader_workers.cpp
+++ b/src/coordination/leader_workers.cpp
@@ -39,6 +39,11 @@
 // Exited tasks that a machine keeps for want of a higher token, before that is raised for them.
 constexpr int kKeptMost = 6;
 
+// The pause after one more failure than so many in a row, in reports.
+double pause_reports(int failures) {
+  return std::min(kPauseReports * (1 << std::min(failures, 4)), kLongestPauseReports);
+}
+
 // Whether a report tells more than what is known of its machine.
 bool newer(const protocol::Report& report, const Machine& machine) {
   return std::tie(report.session, report.tick) > std::tie(machine.session, machine.tick);
@@ -49,11 +54,9 @@
 transport::Response Leader::checkin(const protocol::Report& report, const std::string& via,
                                     RelayRoute route) {
   const Seconds now = clock_.now();
-  const bool may_send_on = route == RelayRoute::direct;
-  if (const auto home = may_send_on
-                            ? relay_assignment_.elsewhere(report.machine, report.zone, via, now)
-                            : std::nullopt) {
-    return {421, protocol::encode_redirect(*home), 0, true};
+  if (route == RelayRoute::direct) {
+    const auto home = relay_assignment_.elsewhere(report.machine, report.zone, via, now);
+    if (home) return {421, protocol::encode_redirect(*home), 0, true};
   }
   relay_assignment_.reported(report.machine, via, now);
   Commands commands;
@@ -445,18 +448,14 @@
 void Leader::replica_ended(Job& job, const Placement& replica) {
   ReplicaRestarts& restarts = job.restarts[replica.task];
   if (restarts.ends > 0) {
-    const double reports =
-        std::min(kPauseReports * (1 << std::min(restarts.ends - 1, 4)), kLongestPauseReports);
-    restarts.retry_at = clock_.now() + settings_.report_s * reports;
+    restarts.retry_at = clock_.now() + settings_.report_s * pause_reports(restarts.ends - 1);
   }
   ++restarts.ends;
 }
 
 void Leader::back_off(Job& job) {
-  const double reports =
-      std::min(kPauseReports * (1 << std::min(job.failures, 4)), kLongestPauseReports);
+  job.retry_at = clock_.now() + settings_.report_s * pause_reports(job.failures);
   ++job.failures;
-  job.retry_at = clock_.now() + settings_.report_s * reports;
 }
 
 void Leader::absent(Machine& machine, Job& job, Placement& placement, From from,
--- a/src/coordination/member_versions.cpp
+++ b/src/coordination/member_versions.cpp
@@ -39,7 +39,7 @@
   const auto understands = [&](const std::string& member) {
     if (const auto it = heard_.find(member); it != heard_.end()) return it->second >= version;
     const auto it = recorded_.find(member);
-    return it != recorded_.end() && it->second >= version;
+    return it != recorded_.end() && it->second.version >= version;
   };
   return understands(settings_.member) &&
          std::all_of(settings_.peers.begin(), settings_.peers.end(),
@@ -76,8 +76,7 @@
     if (reply.status == Status::ok) {
       for (const auto& entry : reply.entries) {
         const std::string member = entry.key.substr(std::string(storage::kVersionPrefix).size());
-        recorded_[member] = storage::decode_version(entry.data);
-        marks_[member] = entry.mark;
+        recorded_[member] = {storage::decode_version(entry.data), entry.mark};
         drop_outdated(member);
       }
     }
@@ -94,11 +93,11 @@
   const auto spoken = heard_.find(member);
   const auto recorded = recorded_.find(member);
   if (spoken == heard_.end() || recorded == recorded_.end()) return;
-  if (spoken->second >= recorded->second) return;
+  if (spoken->second >= recorded->second.version) return;
   spdlog::error("controller {} has come back with an earlier version", member);
   const std::string key = storage::version_key(member);
   storage::Transaction txn;
-  txn.guards.push_back({key, marks_[member]});
+  txn.guards.push_back({key, recorded->second.mark});
   txn.drops.push_back(key);
   recorded_.erase(recorded);
   state_.commit(
--- a/src/coordination/member_versions.hpp
+++ b/src/coordination/member_versions.hpp
@@ -45,8 +45,11 @@
   const Settings& settings_;
   bool reading_ = false;
   std::map<std::string, RecordVersion> heard_;
-  std::map<std::string, RecordVersion> recorded_;
-  std::map<std::string, std::uint64_t> marks_;  // of the records
+  struct Recorded {
+    RecordVersion version = kFirstVersion;
+    std::uint64_t mark = 0;
+  };
+  std::map<std::string, Recorded> recorded_;
 };
 
 }  // namespace larkroad::coordination
--- a/src/coordination/placement.cpp
+++ b/src/coordination/placement.cpp
@@ -32,16 +32,16 @@
                               const PlacementPolicy& policy) {
   const auto zones = view_.live_zones(job, tasks);
   if (!zones) return {};
-  if (!job.spec.one_zone)
-    return choose_in({job, policy, "", replicas_of(job)}, tasks, *zones).choice;
+  const auto replicas = replicas_of(job);
+  if (!job.spec.one_zone) return choose_in({job, policy, "", replicas}, tasks, *zones).choice;
   const std::string live_zone = zones->empty() ? "" : zones->begin()->first;
   if (!live_zone.empty() || tasks.size() <= 1) {
-    return choose_in({job, policy, live_zone, replicas_of(job)}, tasks, *zones).choice;
+    return choose_in({job, policy, live_zone, replicas}, tasks, *zones).choice;
   }
   // All in one zone, none chosen yet: the zone that takes the most, and of those the cheapest.
   Zoned best;
   for (const auto& zone : view_.cluster().settings().zones) {
-    Zoned next = choose_in({job, policy, zone, {}}, tasks, {});
+    Zoned next = choose_in({job, policy, zone, replicas}, tasks, {});
     const bool better = next.choice.size() > best.choice.size() ||
                         (next.choice.size() == best.choice.size() && next.cost < best.cost);
     if (better) std::swap(best, next);
--- a/src/coordination/relay.cpp
+++ b/src/coordination/relay.cpp
@@ -84,7 +84,7 @@
 }
 
 void Relay::arm() {
-  if (armed_ || queue_.empty() || room_under_way() == 0) return;
+  if (armed_ || queue_.empty() || !may_send()) return;
   armed_ = true;
   const Seconds gather = uses_store() ? store_.gather_time() : settings_.report_s * kGatherRatio;
   clock_.after(gather, [this] {
@@ -95,7 +95,7 @@
 
 void Relay::send() {
   const Seconds now = clock_.now();
-  while (!queue_.empty() && room_under_way() > 0) {
+  while (!queue_.empty() && may_send()) {
     Items items;
     size_t bytes = 0;
     const size_t most = uses_store() ? store_.batch_bytes() : kBatchBytes;
@@ -128,9 +128,8 @@
   return kShortReportBytes + kShortTaskBytes * item.report.tasks.size();
 }
 
-size_t Relay::room_under_way() const {
-  if (uses_store()) return store_.has_free_slot() ? 1 : 0;
-  return under_way_ < kMostUnderWay ? 1 : 0;
+bool Relay::may_send() const {
+  return uses_store() ? store_.has_free_slot() : under_way_ < kMostUnderWay;
 }
 
 void Relay::put(Items items, bool repeated) {
--- a/src/coordination/relay.hpp
+++ b/src/coordination/relay.hpp
@@ -50,7 +50,8 @@
   using Items = std::vector<Waiting>;
   void arm();
   void send();
-  size_t room_under_way() const;
+  // Whether one more batch may be under way.
+  bool may_send() const;
   // Whether the leader has answered a report that says the same.
   bool told_before(const Waiting& item) const;
   size_t bytes_of(const Waiting& item) const;
--- a/src/coordination/store_relay.cpp
+++ b/src/coordination/store_relay.cpp
@@ -62,7 +62,7 @@
   const storage::RelayRequestRecord record{next_number_++, batch};
   const storage::Json data = storage::encode(record);
   const double limit = settings_.lasting_state_limits().value_bytes();
-  if (free == slot_taken_.end() || static_cast<double>(storage::encoded_size(data)) > limit) {
+  if (free == slot_taken_.end() || !storage::fits_value(data, limit)) {
     clock_.after(0, [done = std::move(done)] { done(Outcome::not_sent, {}); });
     return;
   }
--- a/src/coordination/store_relay.hpp
+++ b/src/coordination/store_relay.hpp
@@ -27,8 +27,10 @@
   StoreRelayClient(transport::Clock& clock, storage::StateClient& state, const Settings& settings);
 
   bool has_free_slot() const;
-  // How many bytes of reports one batch may hold, and for how long they are to be gathered, so that
-  // all relays together take a small part of the changes that the state service allows.
+  // How many bytes of reports one batch may hold, and for how long they are to be gathered: one
+  // batch of every relay in that time takes a small part of the changes that the state service
+  // allows. Several batches in one such time take more, bounded by the node's own part of the
+  // changes.
   size_t batch_bytes() const;
   Seconds gather_time() const;
   // Calls back with the leader's answer, or with another outcome when there is none by `until`.
--- a/src/protocol/jobs.cpp
+++ b/src/protocol/jobs.cpp
@@ -73,16 +73,12 @@
   if (!valid_job_id(spec.id)) throw Malformed("ref is not a job id");
   spec.job_class = name(body, "lane");
   spec.team = name(body, "crew");
-  const std::string shape = text(body, "shape");
-  const auto* known_shape = std::find_if(kShapes.begin(), kShapes.end(),
-                                         [&](const auto& entry) { return shape == entry.first; });
-  if (known_shape == kShapes.end()) throw Malformed("shape is unknown");
-  spec.shape = known_shape->second;
-  const std::string rank = text(body, "rank");
-  const auto* priority = std::find_if(kPriorities.begin(), kPriorities.end(),
-                                      [&](const auto& entry) { return rank == entry.first; });
-  if (priority == kPriorities.end()) throw Malformed("rank is unknown");
-  spec.priority = priority->second;
+  const auto shape = find_named(kShapes, text(body, "shape"));
+  if (!shape) throw Malformed("shape is unknown");
+  spec.shape = *shape;
+  const auto priority = find_named(kPriorities, text(body, "rank"));
+  if (!priority) throw Malformed("rank is unknown");
+  spec.priority = *priority;
   const std::uint64_t tasks = integer(body, "legs");
   if (tasks < 1 || tasks > kMostTasks) throw Malformed("legs is out of range");
   spec.tasks = static_cast<std::uint32_t>(tasks);
--- a/src/protocol/json.hpp
+++ b/src/protocol/json.hpp
@@ -29,6 +29,16 @@
 double amount(const Json& object, const char* key, double least = 0);
 const Json& array(const Json& object, const char* key);
 
+// The value that a table of names and values has for a name; none: the name is not in it.
+template <typename Table>
+auto find_named(const Table& table, const std::string& name) {
+  using Value = decltype(table.front().second);
+  for (const auto& [known, value] : table) {
+    if (name == known) return std::optional<Value>(value);
+  }
+  return std::optional<Value>();
+}
+
 // What these return points into the object, so it must not be a temporary.
 const Json* find(Json&&, const char*) = delete;
 const Json& need(Json&&, const char*) = delete;
--- a/src/protocol/relay.cpp
+++ b/src/protocol/relay.cpp
@@ -45,7 +45,7 @@
 
 }  // namespace
 
-std::string encode_batch(const RelayBatch& batch) {
+Json batch_to_json(const RelayBatch& batch) {
   Json reports = Json::array();
   for (const auto& report : batch.reports) {
     if (report.report) {
@@ -59,12 +59,14 @@
                          {"base", report.base}});
     }
   }
-  return Json{{"member", batch.member}, {"token", batch.token}, {"reports", std::move(reports)}}
-      .dump();
+  return Json{{"member", batch.member}, {"token", batch.token}, {"reports", std::move(reports)}};
 }
 
-RelayBatch parse_batch(const std::string& body) {
-  const Json json = parse_object(body);
+std::string encode_batch(const RelayBatch& batch) { return batch_to_json(batch).dump(); }
+
+RelayBatch parse_batch(const std::string& body) { return batch_from_json(parse_object(body)); }
+
+RelayBatch batch_from_json(const Json& json) {
   RelayBatch batch{text(json, "member"), integer(json, "token"), {}};
   for (const Json& item : array(json, "reports")) {
     if (!item.is_object()) throw Malformed("reports must be a list of objects");
--- a/src/protocol/relay.hpp
+++ b/src/protocol/relay.hpp
@@ -41,6 +41,9 @@
 
 std::string encode_batch(const RelayBatch& batch);
 RelayBatch parse_batch(const std::string& body);  // throws Malformed
+// The same as a part of something larger.
+Json batch_to_json(const RelayBatch& batch);
+RelayBatch batch_from_json(const Json& json);  // throws Malformed
 std::string encode_batch_answers(const std::vector<RelayedAnswer>& answers);
 std::vector<RelayedAnswer> parse_batch_answers(const std::string& body);  // throws Malformed
 
--- a/src/protocol/workers.cpp
+++ b/src/protocol/workers.cpp
@@ -29,10 +29,9 @@
 
 template <typename Table>
 auto lookup(const Table& table, const std::string& name, const char* key) {
-  for (const auto& [text, value] : table) {
-    if (name == text) return value;
-  }
-  throw Malformed(std::string(key) + " is unknown: " + name);
+  const auto value = find_named(table, name);
+  if (!value) throw Malformed(std::string(key) + " is unknown: " + name);
+  return *value;
 }
 
 TaskId parse_task_id(const std::string& text) {
--- a/src/storage/records.cpp
+++ b/src/storage/records.cpp
@@ -112,13 +112,12 @@
 }
 
 Json encode(const RelayRequestRecord& record) {
-  return Json{{"number", record.number},
-              {"batch", Json::parse(protocol::encode_batch(record.batch))}};
+  return Json{{"number", record.number}, {"batch", protocol::batch_to_json(record.batch)}};
 }
 
 RelayRequestRecord decode_relay_request(const Json& data) {
   return {protocol::integer(data, "number"),
-          protocol::parse_batch(protocol::need(data, "batch").dump())};
+          protocol::batch_from_json(protocol::need(data, "batch"))};
 }
 
 Json encode(const RelayAnswerRecord& record) {
@@ -141,9 +140,13 @@
 
 size_t encoded_size(const Json& record) { return record.dump().size(); }
 
+bool fits_value(const Json& record, double value_bytes) {
+  return static_cast<double>(encoded_size(record)) <= value_bytes;
+}
+
 Json encode_within(JobRecord record, double value_bytes) {
   Json out = encode(record);
-  if (!record.cancelled || static_cast<double>(encoded_size(out)) <= value_bytes) return out;
+  if (!record.cancelled || fits_value(out, value_bytes)) return out;
   record.spec.types.reset();
   record.spec.zone.reset();
   record.spec.image.clear();
@@ -153,7 +156,7 @@
 
 bool can_be_cancelled_within(JobRecord record, double value_bytes) {
   record.cancelled = true;
-  return static_cast<double>(encoded_size(encode(record))) <= value_bytes;
+  return fits_value(encode(record), value_bytes);
 }
 
 }  // namespace larkroad::storage
--- a/src/storage/records.hpp
+++ b/src/storage/records.hpp
@@ -97,6 +97,7 @@
 
 // The size of a record as the state service counts it.
 size_t encoded_size(const Json& record);
+bool fits_value(const Json& record, double value_bytes);
 
 // A job's record for a value of this size at most. One that was accepted under larger limits may
 // not fit; a cancelled one then leaves out what only matters for starting tasks.
--- a/tests/operations_test.cpp
+++ b/tests/operations_test.cpp
@@ -7,10 +7,6 @@
 namespace larkroad::sim {
 namespace {
 
-void expect_no_breach(const World& world) {
-  for (const auto& line : world.checker.broken()) ADD_FAILURE() << line;
-}
-
 // A leader that holds its lease while its watch on the jobs goes unanswered starts nothing; without
 // making way it would do so for as long as that lasts.
 TEST(Operations, ALeaderWhoseWatchAloneFailsMakesWay) {
@@ -88,9 +84,7 @@
     world.run(110);
     ASSERT_NE(faulty, nullptr);
     EXPECT_TRUE(faulty->gone);
-    const auto gone = std::count_if(world.workers.begin(), world.workers.end(),
-                                    [](const auto& worker) { return worker->gone; });
-    EXPECT_LE(gone, 2) << "sound machines were put aside";
+    EXPECT_LE(world.machines_gone(), 2u) << "sound machines were put aside";
     for (const auto& id : world.faulty_jobs) {
       // All tasks until they have failed on three machines, then one in each pause.
       const auto& failures = world.failures[id];
--- a/tests/services_test.cpp
+++ b/tests/services_test.cpp
@@ -10,10 +10,6 @@
 
 using testing::service;
 
-void expect_no_breach(const World& world) {
-  for (const auto& line : world.checker.broken()) ADD_FAILURE() << line;
-}
-
 std::shared_ptr<Worker> machine_with(const World& world, const std::string& job) {
   for (const auto& worker : world.workers) {
     if (!worker->gone && worker->runs(job)) return worker;
@@ -101,9 +97,7 @@
     // Once it ends no more it is back within the longest pause, of 16 reports.
     world.run(160 + 16 * world.settings.report_s + 5);
     EXPECT_EQ(world.running_tasks("job-1"), 3u);
-    const auto machines_lost = std::count_if(world.workers.begin(), world.workers.end(),
-                                             [](const auto& worker) { return worker->gone; });
-    EXPECT_EQ(machines_lost, 0);
+    EXPECT_EQ(world.machines_gone(), 0u);
     expect_no_breach(world);
   }
 }
@@ -168,9 +162,7 @@
   EXPECT_EQ(world.running_tasks("job-1"), 2u);
   world.cancel("job-1");
   world.run(400);
-  const auto left = std::count_if(world.workers.begin(), world.workers.end(),
-                                  [](const auto& worker) { return !worker->gone; });
-  EXPECT_EQ(left, 0);
+  EXPECT_EQ(world.machines_gone(), world.workers.size());
   expect_no_breach(world);
 }
 
--- a/tests/sim/scenario.cpp
+++ b/tests/sim/scenario.cpp
@@ -13,6 +13,10 @@
   });
 }
 
+void expect_no_breach(const World& world) {
+  for (const auto& line : world.checker.broken()) ADD_FAILURE() << line;
+}
+
 void keeps_the_rules(const Scenario& scenario, std::uint64_t seed) {
   SCOPED_TRACE(std::string(scenario.name) + ", seed " + std::to_string(seed));
   spdlog::set_level(std::getenv("LOG_LEVEL") ? spdlog::level::debug : spdlog::level::err);
@@ -22,7 +26,7 @@
   world.checker.troubles_over(160);  // no scenario goes on for longer
   world.run(450);
   world.checker.end(450);
-  for (const auto& line : world.checker.broken()) ADD_FAILURE() << line;
+  expect_no_breach(world);
   EXPECT_TRUE(world.all_over()) << world.unfinished();
   EXPECT_GT(world.checker.started(), 60u);
 }
--- a/tests/sim/scenario.hpp
+++ b/tests/sim/scenario.hpp
@@ -24,6 +24,9 @@
 
 inline std::string node(size_t i) { return "node-" + std::to_string(i); }
 
+// Fails for every broken rule.
+void expect_no_breach(const World& world);
+
 // Something done to whoever leads at that time.
 void to_leader(World& world, Seconds when, std::function<void(size_t)> fn);
 
--- a/tests/sim/world.cpp
+++ b/tests/sim/world.cpp
@@ -213,6 +213,11 @@
 
 bool World::is_up(size_t i) const { return hosts_[i]->node != nullptr; }
 
+size_t World::machines_gone() const {
+  return static_cast<size_t>(std::count_if(workers.begin(), workers.end(),
+                                           [](const auto& worker) { return worker->gone; }));
+}
+
 size_t World::leader() const {
   for (size_t i = 0; i < hosts_.size(); ++i) {
     if (hosts_[i]->node && hosts_[i]->node->election().leads()) return i;
@@ -711,7 +716,18 @@
   return shape == protocol::Shape::gang ? "gang" : "sweep";
 }
 
-std::string body_of(const JobSpec& s) {
+std::string stage_in(const Response& response) {
+  if (response.status != 200 && response.status != 201) return "";
+  return Json::parse(response.body).value("stage", "");
+}
+
+std::string some_node(World& world) {
+  return "10.0.0." + std::to_string(1 + static_cast<int>(world.chance() * 3)) + ":8080";
+}
+
+}  // namespace
+
+std::string submission_body(const JobSpec& s) {
   Json out{{"ref", s.id},
            {"lane", s.job_class},
            {"crew", s.team},
@@ -733,20 +749,9 @@
   return out.dump();
 }
 
-std::string stage_in(const Response& response) {
-  if (response.status != 200 && response.status != 201) return "";
-  return Json::parse(response.body).value("stage", "");
-}
-
-std::string some_node(World& world) {
-  return "10.0.0." + std::to_string(1 + static_cast<int>(world.chance() * 3)) + ":8080";
-}
-
-}  // namespace
-
 void World::user_submits(const JobSpec& s, int tries) {
   send(
-      "users", some_node(*this), {"POST", "/v2/runs", body_of(s)}, 5,
+      "users", some_node(*this), {"POST", "/v2/runs", submission_body(s)}, 5,
       [this, s, tries, asked = events.now()](Outcome outcome, const Response& response) {
         const bool accepted =
             outcome == Outcome::answered && (response.status == 200 || response.status == 201);
@@ -789,9 +794,9 @@
       if (kind == 0) {
         unfit.cpus = 1000;
         checker.submitted_unfit(unfit.id);
-        send_odd(body_of(unfit), 422, unfit.id);
+        send_odd(submission_body(unfit), 422, unfit.id);
       } else if (kind == 1) {
-        Json json = Json::parse(body_of(unfit));
+        Json json = Json::parse(submission_body(unfit));
         json.erase(chance() < 0.5 ? "crew" : "cores");
         checker.submitted_unfit(unfit.id);
         send_odd(json.dump(), 400, unfit.id);
--- a/tests/sim/world.hpp
+++ b/tests/sim/world.hpp
@@ -184,6 +184,9 @@
   std::optional<StateLimits> next_limits{};
 };
 
+// A submission as users send it.
+std::string submission_body(const JobSpec& spec);
+
 class World {
  public:
   World(std::uint64_t seed, Troubles troubles);
@@ -232,6 +235,7 @@
   void odd_requests(Seconds length);
   // Copies of the machine's last report go on arriving, whatever has become of it.
   void repeat_last_report(const std::string& machine, Seconds length);
+  size_t machines_gone() const;
   size_t leader() const;  // count of nodes when none leads
   coordination::Node& node(size_t i);
   bool is_up(size_t i) const;
--- a/tests/store_relay_test.cpp
+++ b/tests/store_relay_test.cpp
@@ -8,10 +8,6 @@
 namespace larkroad::sim {
 namespace {
 
-void expect_no_breach(const World& world) {
-  for (const auto& line : world.checker.broken()) ADD_FAILURE() << line;
-}
-
 JobSpec in_zone(const std::string& id, const std::string& zone, Seconds run) {
   JobSpec spec = testing::spec(id, 4, 2);
   spec.zone = zone;
--- a/tests/upgrade_test.cpp
+++ b/tests/upgrade_test.cpp
@@ -12,8 +12,8 @@
 
 constexpr StateLimits kNextLimits{1, 4, 35, 100};
 
-void expect_no_breach(const World& world) {
-  for (const auto& line : world.checker.broken()) ADD_FAILURE() << line;
+void expect_nothing_refused(const World& world) {
+  expect_no_breach(world);
   EXPECT_EQ(world.refused_as_too_large, 0u);
 }
 
@@ -25,30 +25,9 @@
   return world.node(i).versions().all_understand(coordination::kServicesVersion);
 }
 
-std::string submission(const JobSpec& spec) {
-  return Json{{"ref", spec.id},
-              {"lane", spec.job_class},
-              {"crew", spec.team},
-              {"shape", spec.is_service() ? "service" : "sweep"},
-              {"rank", "prod"},
-              {"legs", spec.tasks},
-              {"cores", spec.cpus},
-              {"accelerators", 0},
-              {"memGb", spec.memory_gb},
-              {"cargo", spec.image},
-              {"pullGb", spec.image_gb},
-              {"samePlace", false},
-              {"apart", false},
-              {"loaners", false},
-              {"expectS", 0},
-              {"waypointS", 0},
-              {"stowS", 0}}
-      .dump();
-}
-
 int status_of_submission(World& world, size_t node, const JobSpec& spec) {
   int status = 0;
-  world.node(node).handle_client({"POST", "/v2/runs", submission(spec)},
+  world.node(node).handle_client({"POST", "/v2/runs", submission_body(spec)},
                                  [&](const Response& response) { status = response.status; });
   world.run(world.events.now() + 2);
   return status;
@@ -221,7 +200,7 @@
   to_leader(world, 60, [this](size_t i) { world.kill(i, 1); });
   world.run(140);
   EXPECT_TRUE(world.all_over()) << world.unfinished();
-  expect_no_breach(world);
+  expect_nothing_refused(world);
 }
 
 TEST_F(LargeRecords, WhatIsPlacedWhenTheLimitsFallIsCancelled) {
@@ -234,7 +213,7 @@
   world.run(60 + world.settings.cancel_s);
   EXPECT_EQ(world.running_tasks("job-1"), 0u);
   EXPECT_TRUE(world.all_over()) << world.unfinished();
-  expect_no_breach(world);
+  expect_nothing_refused(world);
 }
 
 TEST_F(LargeRecords, WhatIsLostAfterTheLimitsFallRunsAgain) {
@@ -249,7 +228,7 @@
   to_leader(world, 70, [this](size_t i) { world.kill(i, 1); });
   world.run(240);
   EXPECT_TRUE(world.all_over()) << world.unfinished();
-  expect_no_breach(world);
+  expect_nothing_refused(world);
 }
 
 // All tasks of a gang are recorded at once, which the old layout does not allow any more.
@@ -268,7 +247,7 @@
   to_leader(world, 75, [this](size_t i) { world.kill(i, 1); });
   world.run(200);
   EXPECT_TRUE(world.all_over()) << world.unfinished();
-  expect_no_breach(world);
+  expect_nothing_refused(world);
 }
 
 // A gang that runs when the limits fall, loses a machine and starts anew.
@@ -291,7 +270,7 @@
   });
   world.run(200);
   EXPECT_TRUE(world.all_over()) << world.unfinished();
-  expect_no_breach(world);
+  expect_nothing_refused(world);
 }
 
 // Each control character takes six bytes in a record.
@@ -313,7 +292,7 @@
   world.run(80);
   EXPECT_EQ(world.running_tasks("job-1"), 0u);
   EXPECT_TRUE(world.all_over()) << world.unfinished();
-  expect_no_breach(world);
+  expect_nothing_refused(world);
 }
 
 // Limits that nobody announced: transactions become smaller, and nothing is given up.
@@ -327,7 +306,7 @@
   world.submit(wide, 25);
   world.run(300);
   EXPECT_TRUE(world.all_over()) << world.unfinished();
-  for (const auto& line : world.checker.broken()) ADD_FAILURE() << line;
+  expect_no_breach(world);
   EXPECT_GT(world.refused_as_too_large, 0u);
   EXPECT_LT(world.refused_as_too_large, 200u);
 }
