Review, case 1: a repeated launch is forgotten, and a task runs twice

A direct launch goes unanswered, the leader takes a higher token, and repeats the launch in the answer to a report. The entry of the direct launch hides that of the repeat, and goes as soon as the worker has seen the new token. A stop that overtakes the answer then makes the leader take the task for gone: it starts on another machine, and once more on the first when the answer arrives within the 4 s.

--- a/review/standins/standins.hpp
+++ b/review/standins/standins.hpp
@@ -4,6 +4,7 @@
 #pragma once
 
 #include <asio/io_context.hpp>
+#include <asio/ip/tcp.hpp>
 #include <cstdint>
 #include <deque>
 #include <fstream>
@@ -84,6 +85,8 @@
 
   /// Controllers that are refused with 503 (open watches then wait).
   std::set<size_t> refused;
+  /// Controllers that are cut off: their requests get no answer.
+  std::set<size_t> cut_off;
   /// Called for each transaction before it is carried out; returns whether it took the request over.
   std::function<bool(size_t controller, const Json& transaction, const Request& request,
                      const Respond& respond)>
@@ -126,6 +129,10 @@
   std::map<std::string, Pair> pairs_;
   std::map<std::uint64_t, Grant> grants_;
   std::list<Watch> watches_;
+  double request_tokens_ = 0, write_tokens_ = 0;
+  Seconds refilled_at_ = 0;
+  /// Whether the rates of the settings allow the request.
+  bool within_rates(const Request& request);
   struct Event {
     std::string key;
     Json json;
@@ -191,6 +198,11 @@
   bool spot;
   bool mute = false;      ///< its reports reach no controller
   bool deaf = false;      ///< answers and commands to it are lost
+  bool sick = false;      ///< every task that it starts fails
+  /// By how long the answer to a report is held up on its way.
+  std::function<Seconds()> answer_delay = [] { return 0.0; };
+  /// The time to the next report in multiples of `report_s`: between 0.75 and 1.25. None: at random.
+  std::optional<double> next_report_factor;
   std::optional<Seconds> hung_until;
   /// Called with each report that is sent.
   std::function<void(size_t controller, const Json& report)> on_report = [](size_t, const Json&) {};
@@ -204,6 +216,8 @@
                                                                      const Respond&) {
     return false;
   };
+  /// Completes the running tasks of a job.
+  void complete(const std::string& job);
   /// Carries out a direct command or question.
   void carry_out(const Request& request, const Respond& respond);
   void gang_changed(const std::string& job, std::uint64_t attempt);
@@ -238,7 +252,7 @@
   Seconds lease_from_ = 0;
   Seconds last_sent_ = -1;
   size_t controller_ = 0;
-  bool in_flight_ = false, changed_ = false, terminated_ = false;
+  bool in_flight_ = false, changed_ = false, terminated_ = false, up_ = false;
   std::uint64_t report_timer_ = 0;
   std::optional<Seconds> recall_at_;
   void run_leg(const Key& key);
@@ -267,6 +281,41 @@
   int pid_ = 0;
 };
 
+/// The load balancer in front of the users' addresses. It chooses a healthy controller for each new
+/// connection, the one with the fewest open ones, and passes bytes on. Health is probed each second
+/// and judged as the protocol page says; the rise of a new controller's share over 10 s is left out.
+class LoadBalancer {
+ public:
+  explicit LoadBalancer(World& world);
+  void start();
+  std::string address;
+  bool healthy(size_t controller) const { return nodes_[controller].healthy; }
+
+ private:
+  struct Connection;
+  struct Node {
+    std::deque<bool> probes;  // the last six
+    bool healthy = false;
+    bool ever_healthy = false;
+    Seconds changed_at = 0;
+    Seconds pause = 3;
+    Seconds removed_at = -1;
+    Seconds skipped_until = 0;
+    int refused = 0;
+  };
+  void accept();
+  void probe(size_t controller);
+  void judge_probe(size_t controller, bool answered);
+  void connect(const std::shared_ptr<Connection>& connection, std::set<size_t> tried);
+  void pass(const std::shared_ptr<Connection>& connection, bool upwards);
+  void reset_old_connections(size_t controller);
+
+  World& world_;
+  asio::ip::tcp::acceptor acceptor_;
+  std::vector<Node> nodes_;
+  std::list<std::weak_ptr<Connection>> connections_;
+};
+
 /// What is known of tasks on machines; judges the rules.
 class Judge {
  public:
@@ -334,6 +383,10 @@
   std::string work_folder;
   std::vector<Respond> unanswered;  // kept, so that the connection stays open
   bool with_peer_proxies = false;
+  /// How long the state service takes for a request.
+  std::function<Seconds()> state_delay = [] { return 0.003; };
+  /// How long a message between two controllers takes on its way through their proxy.
+  std::function<Seconds()> peer_delay = [] { return 0.0; };
   /// Members of gangs by job and attempt that have their image.
   std::map<std::pair<std::string, std::uint64_t>, std::map<std::string, Worker*>> gangs;
   std::set<std::pair<std::string, std::uint64_t>> started_gangs;
@@ -346,6 +399,10 @@
 };
 
 unsigned short free_port();
+/// Listens at a free port; returns the server and its address.
+std::pair<std::unique_ptr<HttpServer>, std::string> listen(
+    asio::io_context& io, AsioClock& clock, size_t connections,
+    const larkroad::transport::Handler& handler);
 std::vector<std::string> split_command(int argc, char** argv, int from);
 
 }  // namespace review
