Review: the scripts judge the rule of their case alone, and clean up

A script exits with 1 only if the rule in its claim was broken; anything else that breaks makes it 2. It writes record.txt also where it cannot run, keeps its files in a temporary folder that it removes, and ends its program, and with it the controllers, when it is ended itself.

--- a/review/1/case.cpp
+++ b/review/1/case.cpp
@@ -54,13 +54,7 @@
     return nullptr;
   };
   const auto judge_in = [&](double delay) {
-    world.after(delay, [&] {
-      const bool broken = !world.judge.violations.empty();
-      std::string text = "no rule was broken";
-      if (broken) text = "broken: " + world.judge.violations.begin()->first + ", " +
-                         world.judge.violations.begin()->second.front();
-      world.finish(broken ? 1 : 0, text);
-    });
+    world.after(delay, [&] { world.conclude("ran_twice"); });
   };
 
   review::Worker* here = nullptr;
--- a/review/1/run.sh
+++ b/review/1/run.sh
@@ -5,10 +5,25 @@
 cd "$(dirname "$0")" || exit 2
 number=$(basename "$PWD")
 cd ../.. || exit 2
+record=review/$number/record.txt
 program=target/review/case_$number
-[[ -x $program ]] || exit 2
 read -ra run < <(sed -n 's/^run = "\(.*\)"$/\1/p' deploy/service.toml)
-timeout --kill-after=2 115 "$program" "review/$number" "${run[@]}"
+: >"$record" || exit 2
+for needed in "$program" "${run[0]}"; do
+  if [[ ! -x $needed ]]; then
+    echo "could not run: $needed is missing" | tee "$record"
+    exit 2
+  fi
+done
+
+TMPDIR=$(mktemp -d) || exit 2
+export TMPDIR
+trap 'rm -rf "$TMPDIR"' EXIT
+# The program starts the controllers, which end with it.
+timeout --kill-after=2 115 "$program" "review/$number" "${run[@]}" &
+child=$!
+trap 'kill "$child" 2>/dev/null' TERM INT HUP
+wait "$child"
 status=$?
 [[ $status == 0 || $status == 1 ]] || status=2
 exit "$status"
--- a/review/2/case.cpp
+++ b/review/2/case.cpp
@@ -41,13 +41,7 @@
   };
 
   const auto judge_in = [&](double delay) {
-    world.after(delay, [&] {
-      const bool broken = !world.judge.violations.empty();
-      std::string text = "no rule was broken";
-      if (broken) text = "broken: " + world.judge.violations.begin()->first + ", " +
-                         world.judge.violations.begin()->second.front();
-      world.finish(broken ? 1 : 0, text);
-    });
+    world.after(delay, [&] { world.conclude("quota"); });
   };
 
   const auto deliver_copies = [&] {
--- a/review/standins/standins.cpp
+++ b/review/standins/standins.cpp
@@ -1256,8 +1256,10 @@
       with_peer_proxies(peer_proxies) {
   signal(SIGPIPE, SIG_IGN);
   record.set_clock([this] { return now(); });
-  char pattern[] = "/tmp/larkroad-review-XXXXXX";
-  if (mkdtemp(pattern) == nullptr) {
+  const char* temporary = std::getenv("TMPDIR");
+  std::string pattern =
+      std::string(temporary != nullptr ? temporary : "/tmp") + "/larkroad-review-XXXXXX";
+  if (mkdtemp(pattern.data()) == nullptr) {
     std::perror("mkdtemp");
     std::exit(2);
   }
@@ -1363,6 +1365,18 @@
   status_ = status;
 }
 
+void World::conclude(const std::string& rule) {
+  const auto broken = judge.violations.find(rule);
+  if (broken != judge.violations.end()) {
+    finish(1, "broken: " + rule + ", " + broken->second.front());
+  } else if (judge.violations.empty()) {
+    finish(0, "no rule was broken");
+  } else {
+    const auto& other = *judge.violations.begin();
+    finish(2, "not the rule of the case: " + other.first + ", " + other.second.front());
+  }
+}
+
 void World::when(const std::string& what, Seconds limit, std::function<bool()> condition,
                  std::function<void()> then) {
   if (status_) return;
--- a/review/standins/standins.hpp
+++ b/review/standins/standins.hpp
@@ -347,6 +347,8 @@
   /// Runs until `finish` or the time limit; returns the exit status.
   int run(Seconds limit);
   void finish(int status, const std::string& text);
+  /// Ends the run: status 1 if this rule was broken, 0 if nothing was, 2 if only something else was.
+  void conclude(const std::string& rule);
 
   Seconds now() const { return clock.now() - started_at; }
   void after(Seconds delay, std::function<void()> action) { clock.after(delay, std::move(action)); }
