Log each launch that a worker may still carry out, and what resolves it

Cause: the log showed where tasks were placed, but not which launches were still in doubt.

Change: debug lines when a launch is sent (directly or in a heartbeat response), when the call with it is answered or not, and when it is dropped, with the token and the reason. Behaviour is unchanged.

--- a/src/coordination/workers/command_dispatcher.cpp
+++ b/src/coordination/workers/command_dispatcher.cpp
@@ -95,6 +95,8 @@
       if (command.type != CommandType::launch) continue;
       // Sent under the current token, which may have been raised since the launch was queued.
       record_launch(*machine, {command.id, command.attempt});
+      spdlog::debug("launch sent directly: task={} attempt={} machine={} fencing_token={}",
+                    command.id.text(), command.attempt, machine_name, callbacks_.fencing_token());
     }
     if (!commands.empty()) send(*machine, commands);
   }
@@ -189,6 +191,9 @@
     if (command.type != CommandType::launch) continue;
     const auto launch = machine.unresolved_launches.find({command.id, command.attempt});
     if (launch == machine.unresolved_launches.end()) continue;
+    spdlog::debug("direct launch {}: task={} attempt={} machine={} fencing_token={}",
+                  resolved ? "resolved" : "unanswered", command.id.text(), command.attempt,
+                  machine.name, launch->second.fencing_token);
     if (resolved) {
       machine.unresolved_launches.erase(launch);
     } else {
--- a/src/coordination/workers/heartbeat_processor.cpp
+++ b/src/coordination/workers/heartbeat_processor.cpp
@@ -125,7 +125,13 @@
     const bool response_processed = launch.response_to_sequence != 0 &&
                                     source == HeartbeatSource::worker &&
                                     launch.response_to_sequence < heartbeat.sequence;
-    return launch.fencing_token < machine.seen_fencing_token || response_processed;
+    const bool fenced = launch.fencing_token < machine.seen_fencing_token;
+    if (fenced || response_processed) {
+      spdlog::debug("launch resolved: task={} attempt={} machine={} fencing_token={} reason=\"{}\"",
+                    entry.first.first.text(), entry.first.second, machine.name,
+                    launch.fencing_token, fenced ? "fenced" : "response processed");
+    }
+    return fenced || response_processed;
   });
 }
 
--- a/src/coordination/workers/task_reconciler.cpp
+++ b/src/coordination/workers/task_reconciler.cpp
@@ -246,8 +246,15 @@
   // and be started both by the late response and on another machine.
   if (source != HeartbeatSource::worker) return;
   placement.stage = Placement::Stage::dispatched;
-  machine.unresolved_launches.try_emplace(
-      key, UnresolvedLaunch{election_.fencing_token(), true, machine.sequence});
+  const bool recorded =
+      machine.unresolved_launches
+          .try_emplace(key, UnresolvedLaunch{election_.fencing_token(), true, machine.sequence})
+          .second;
+  spdlog::debug(
+      "launch sent in heartbeat response: task={} attempt={} machine={} fencing_token={} "
+      "sequence={} recorded={}",
+      key.first.text(), key.second, machine.name, election_.fencing_token(), machine.sequence,
+      recorded);
   commands.push_back({CommandType::launch, key.first, placement.attempt, 0});
 }
 
