Record the launches of each route by themselves, so that a stop cannot be overtaken

Cause: the leader remembered one launch for each attempt. A direct launch that went unanswered may be carried out until the worker has seen a higher token; the same launch, repeated in the response to a heartbeat, until the worker's next heartbeat. The repeated one was noted with try_emplace beside the older entry, and so not at all. When a direct stop brought the worker the higher token, the entry of the call ended rightly, none was left, and the stopped task counted as gone while the response was still under way.

Change: LaunchTracker records calls and responses apart and answers whether the worker may still carry out any of them. It takes the place of two maps, of launches in doubt and of possible copies; stops, repeats, forgets, recovery and new incarnations all go by it.

Why it works: what ends one record is now only what ends that very launch. The task is held until the worker's next own heartbeat, which can only come after the response was processed or dropped.

The unit tests of TaskReconciler and CommandDispatcher looked into the two maps; they ask the tracker the same questions now. That the response is recorded for heartbeat 3 is checked by it being unresolved until a later heartbeat; nothing is checked less.

--- a/src/coordination/cluster_state/cluster_state.cpp
+++ b/src/coordination/cluster_state/cluster_state.cpp
@@ -87,8 +87,7 @@
                                      std::uint64_t uncertain_fencing_token, Seconds now) {
   Machine& on = machine(placed.machine);
   on.incarnation = std::max(on.incarnation, placed.incarnation);
-  on.unresolved_launches[{{job.id(), placed.task}, placed.attempt}] = {uncertain_fencing_token,
-                                                                       false};
+  on.launches.add_inherited({{job.id(), placed.task}, placed.attempt}, uncertain_fencing_token);
   Placement& placement = place(job, placed.task, on, placed.attempt, now);
   placement.incarnation = placed.incarnation;
   placement.stage = Placement::Stage::persisted;
--- a/src/coordination/cluster_state/machine.hpp
+++ b/src/coordination/cluster_state/machine.hpp
@@ -1,5 +1,4 @@
-/// The leader's state of one machine: its lease, health, capacity, tasks, images and the launches
-/// whose outcome is unknown.
+/// The leader's state of one machine: its lease, health, capacity, tasks, images and launches.
 ///
 /// Owned by `ClusterState`, which alone maintains `used`, `used_by_priority`, `tasks` and
 /// `idle_since`. The other members are updated by the components of the leader that process
@@ -13,6 +12,7 @@
 #include <string>
 #include <utility>
 
+#include "coordination/cluster_state/launch_tracker.hpp"
 #include "coordination/cluster_state/resources.hpp"
 #include "protocol/worker_messages.hpp"
 #include "transport/clock.hpp"
@@ -22,17 +22,6 @@
 using protocol::TaskId;
 using transport::Seconds;
 
-/// A direct launch that the worker may still execute. It is resolved by the response to it, or when
-/// the worker has seen a higher fencing token or has started a new incarnation.
-struct UnresolvedLaunch {
-  std::uint64_t fencing_token = 0;
-  bool pending = false;  ///< no response to the call has been received yet
-  /// Not 0: the launch was sent in the response to the heartbeat with this sequence number, which a
-  /// relay may still be delivering. The worker's next heartbeat shows whether the response was
-  /// executed or lost.
-  std::uint64_t response_to_sequence = 0;
-};
-
 /// Times are on the steady clock.
 struct Machine {
   std::string name;
@@ -79,12 +68,7 @@
   Resources used;
   ResourcesByPriority used_by_priority{};
   std::set<TaskId> tasks;
-  /// Keyed by task and attempt.
-  std::map<std::pair<TaskId, std::uint64_t>, UnresolvedLaunch> unresolved_launches;
-  /// Launches that this leader sent directly to the machine, with the fencing token of each. Once
-  /// the worker has discarded the task, it would execute a delayed copy of its launch until it has
-  /// seen a higher token.
-  std::map<std::pair<TaskId, std::uint64_t>, std::uint64_t> direct_launches;
+  LaunchTracker launches;  ///< that its worker may still carry out
   /// Images that are probably in its cache: size in GB and time of last use.
   std::map<std::string, std::pair<double, Seconds>> images;
   bool images_changed = false;                 ///< since they were last recorded
--- a/src/coordination/workers/command_dispatcher.cpp
+++ b/src/coordination/workers/command_dispatcher.cpp
@@ -63,7 +63,7 @@
       continue;
     }
     placement.stage = Placement::Stage::dispatched;
-    record_launch(*machine, {{job.id(), task}, placement.attempt});
+    machine->launches.add_call({{job.id(), task}, placement.attempt}, callbacks_.fencing_token());
     by_machine[placement.machine].push_back(
         {CommandType::launch, {job.id(), task}, placement.attempt, 0});
   }
@@ -94,7 +94,7 @@
     for (const auto& command : commands) {
       if (command.type != CommandType::launch) continue;
       // Sent under the current token, which may have been raised since the launch was queued.
-      record_launch(*machine, {command.id, command.attempt});
+      machine->launches.add_call({command.id, command.attempt}, callbacks_.fencing_token());
       spdlog::debug("launch sent directly: task={} attempt={} machine={} fencing_token={}",
                     command.id.text(), command.attempt, machine_name, callbacks_.fencing_token());
     }
@@ -102,12 +102,6 @@
   }
 }
 
-void CommandDispatcher::record_launch(Machine& machine, const LaunchKey& launch) const {
-  const std::uint64_t fencing_token = callbacks_.fencing_token();
-  machine.unresolved_launches[launch] = {fencing_token, true};
-  machine.direct_launches[launch] = fencing_token;
-}
-
 // Drops launches of tasks that lost their placement after the launch was queued, as they may be
 // starting on another machine, and all launches if the leader's lease has expired. None of them was
 // sent, so their outcome is known. A task that still has its placement is later reported absent and
@@ -115,8 +109,7 @@
 void CommandDispatcher::drop_stale_launches(Machine& machine, Commands& commands) {
   for (const auto& command : commands) {
     if (!is_stale_launch(machine, command)) continue;
-    machine.unresolved_launches.erase({command.id, command.attempt});
-    machine.direct_launches.erase({command.id, command.attempt});
+    machine.launches.call_dropped({command.id, command.attempt});
   }
   std::erase_if(commands,
                 [&](const Command& command) { return is_stale_launch(machine, command); });
@@ -189,15 +182,13 @@
   const bool resolved = is_outcome_known(outcome, status);
   for (const auto& command : commands) {
     if (command.type != CommandType::launch) continue;
-    const auto launch = machine.unresolved_launches.find({command.id, command.attempt});
-    if (launch == machine.unresolved_launches.end()) continue;
-    spdlog::debug("direct launch {}: task={} attempt={} machine={} fencing_token={}",
+    spdlog::debug("direct launch {}: task={} attempt={} machine={}",
                   resolved ? "resolved" : "unanswered", command.id.text(), command.attempt,
-                  machine.name, launch->second.fencing_token);
+                  machine.name);
     if (resolved) {
-      machine.unresolved_launches.erase(launch);
+      machine.launches.call_answered({command.id, command.attempt});
     } else {
-      launch->second.pending = false;
+      machine.launches.call_unanswered({command.id, command.attempt});
     }
   }
 }
@@ -217,8 +208,9 @@
                }));
 }
 
-void CommandDispatcher::require_fencing_of(const UnresolvedLaunch& launch) {
-  if (launch.fencing_token >= callbacks_.fencing_token()) require_fencing();
+void CommandDispatcher::require_fencing_of(const Machine& machine, const LaunchKey& launch) {
+  const auto call_token = machine.launches.unresolved_call_token(launch);
+  if (call_token && *call_token >= callbacks_.fencing_token()) require_fencing();
 }
 
 void CommandDispatcher::raise_fencing_token_if_due() {
--- a/src/coordination/workers/command_dispatcher.hpp
+++ b/src/coordination/workers/command_dispatcher.hpp
@@ -20,14 +20,10 @@
 
 using Commands = std::vector<protocol::Command>;
 
-/// Identifies one launch of a task: the task and its attempt.
-using LaunchKey = std::pair<TaskId, std::uint64_t>;
-
 /// Sends commands and status queries to workers during one term of leadership.
 ///
 /// Owns the queue of commands for each machine and the pending request for a higher fencing token.
-/// Maintains `Machine::unresolved_launches` and `Machine::direct_launches`: an entry is added
-/// before a launch is sent, and removed only when the launch can no longer take effect.
+/// Records direct calls with launches in `Machine::launches`, before they are sent.
 ///
 /// Commands for one machine are batched for a short time and sent in one call, in the order in
 /// which they were queued. A command is sent only to the agent incarnation for which it was queued,
@@ -73,10 +69,11 @@
 
   /// Requests a higher fencing token; see `raise_fencing_token_if_due`.
   void require_fencing() { fencing_required_ = true; }
-  /// Requests a higher fencing token than that of this launch, so that it can no longer take effect
-  /// once the worker has seen the new token. Does nothing if the token has been raised since the
-  /// launch: raising it again would not help with a worker that has not seen the last one.
-  void require_fencing_of(const UnresolvedLaunch& launch);
+  /// Requests a higher fencing token than that of the direct call with this launch, so that it can
+  /// no longer take effect once the worker has seen the new token. Does nothing if its outcome is
+  /// known, or if the token has been raised since the call: raising it again would not help with a
+  /// worker that has not seen the last one.
+  void require_fencing_of(const Machine& machine, const LaunchKey& launch);
   /// Raises the fencing token if requested, at most once per quarter of a lease. Must be called
   /// periodically.
   void raise_fencing_token_if_due();
@@ -93,7 +90,6 @@
   void send_queued();
   void drop_stale_launches(Machine& machine, Commands& commands);
   bool is_stale_launch(const Machine& machine, const protocol::Command& command) const;
-  void record_launch(Machine& machine, const LaunchKey& launch) const;
   void send(const Machine& machine, const Commands& commands);
   void handle_reply(const std::string& machine_name, const Commands& commands,
                     transport::Outcome outcome, const transport::Response& response);
--- a/src/coordination/workers/heartbeat_processor.cpp
+++ b/src/coordination/workers/heartbeat_processor.cpp
@@ -7,6 +7,16 @@
 #include "log.hpp"
 
 namespace larkroad::coordination {
+namespace {
+
+void log_resolved_launch(const Machine& machine, const LaunchTracker::Resolved& resolved,
+                         const char* reason) {
+  spdlog::debug("launch resolved: task={} attempt={} machine={} fencing_token={} reason=\"{}\"",
+                resolved.launch.first.text(), resolved.launch.second, machine.name,
+                resolved.fencing_token, reason);
+}
+
+}  // namespace
 
 HeartbeatProcessor::HeartbeatProcessor(const transport::Clock& clock, ClusterState& cluster,
                                        const Election& election, const Settings& settings,
@@ -109,30 +119,22 @@
   if (machine.type != heartbeat.type || machine.capacity.cpus == 0) {
     cluster_.set_type(machine, heartbeat.type);
   }
-  drop_fenced_launches(machine, heartbeat, source);
+  drop_resolved_launches(machine, heartbeat, source);
 }
 
-// Drops launches that the worker now rejects because it has seen a higher token, and those in the
-// response to an earlier heartbeat, as the worker's next heartbeat shows that it has processed the
-// response.
-void HeartbeatProcessor::drop_fenced_launches(Machine& machine,
-                                              const protocol::Heartbeat& heartbeat,
-                                              HeartbeatSource source) {
-  std::erase_if(machine.direct_launches,
-                [&](const auto& entry) { return entry.second < machine.seen_fencing_token; });
-  std::erase_if(machine.unresolved_launches, [&](const auto& entry) {
-    const UnresolvedLaunch& launch = entry.second;
-    const bool response_processed = launch.response_to_sequence != 0 &&
-                                    source == HeartbeatSource::worker &&
-                                    launch.response_to_sequence < heartbeat.sequence;
-    const bool fenced = launch.fencing_token < machine.seen_fencing_token;
-    if (fenced || response_processed) {
-      spdlog::debug("launch resolved: task={} attempt={} machine={} fencing_token={} reason=\"{}\"",
-                    entry.first.first.text(), entry.first.second, machine.name,
-                    launch.fencing_token, fenced ? "fenced" : "response processed");
-    }
-    return fenced || response_processed;
-  });
+// Drops launches that the worker can no longer carry out: it rejects those under a lower token than
+// the one that it has seen, and its next heartbeat shows that it has processed or dropped the
+// response to the previous one.
+void HeartbeatProcessor::drop_resolved_launches(Machine& machine,
+                                                const protocol::Heartbeat& heartbeat,
+                                                HeartbeatSource source) {
+  for (const auto& fenced : machine.launches.worker_saw_token(machine.seen_fencing_token)) {
+    log_resolved_launch(machine, fenced, "fenced");
+  }
+  if (source != HeartbeatSource::worker) return;
+  for (const auto& processed : machine.launches.worker_sent_heartbeat(heartbeat.sequence)) {
+    log_resolved_launch(machine, processed, "response processed");
+  }
 }
 
 void HeartbeatProcessor::update_reclaim_notice(Machine& machine,
--- a/src/coordination/workers/heartbeat_processor.hpp
+++ b/src/coordination/workers/heartbeat_processor.hpp
@@ -62,8 +62,8 @@
   void register_machine(Machine& machine, const protocol::Heartbeat& heartbeat);
   void update_machine(Machine& machine, const protocol::Heartbeat& heartbeat,
                       HeartbeatSource source);
-  static void drop_fenced_launches(Machine& machine, const protocol::Heartbeat& heartbeat,
-                                   HeartbeatSource source);
+  static void drop_resolved_launches(Machine& machine, const protocol::Heartbeat& heartbeat,
+                                     HeartbeatSource source);
   void update_reclaim_notice(Machine& machine, const protocol::Heartbeat& heartbeat);
 
   const transport::Clock& clock_;
--- a/src/coordination/workers/task_reconciler.cpp
+++ b/src/coordination/workers/task_reconciler.cpp
@@ -122,12 +122,12 @@
     handle_exit(machine, *cluster_.job(task.id.job), task);
   }
   // After `forget`, a launch that is still in transit would run the task again.
-  const auto launch = machine.unresolved_launches.find({task.id, task.attempt});
-  if (launch != machine.unresolved_launches.end()) {
-    if (launch->second.response_to_sequence == 0) dispatcher_.require_fencing_of(launch->second);
+  const LaunchKey launch{task.id, task.attempt};
+  if (machine.launches.is_unresolved(launch)) {
+    dispatcher_.require_fencing_of(machine, launch);
     return;
   }
-  if (is_result_durable(task) && can_forget(machine, task)) {
+  if (is_result_durable(task) && can_forget(machine, launch)) {
     commands.push_back({CommandType::forget, task.id, task.attempt, 0});
   }
 }
@@ -144,15 +144,10 @@
 // completed task would use resources again, possibly exceeding its team's quota. So the worker
 // retains the task until it has seen a higher token than that of the launch. If it retains many,
 // the token is raised.
-bool TaskReconciler::can_forget(Machine& machine, const TaskStatus& task) {
-  const auto launch = machine.direct_launches.find({task.id, task.attempt});
-  if (launch == machine.direct_launches.end()) return true;
-  if (launch->second >= machine.seen_fencing_token) {
-    if (++machine.retained_exits > kMaxRetainedExits) dispatcher_.require_fencing();
-    return false;
-  }
-  machine.direct_launches.erase(launch);
-  return true;
+bool TaskReconciler::can_forget(Machine& machine, const LaunchKey& launch) {
+  if (!machine.launches.may_have_copies(launch)) return true;
+  if (++machine.retained_exits > kMaxRetainedExits) dispatcher_.require_fencing();
+  return false;
 }
 
 void TaskReconciler::handle_exit(Machine& machine, Job& job, const TaskStatus& task) {
@@ -220,15 +215,14 @@
 
 void TaskReconciler::reconcile_absent_task(Machine& machine, Job& job, Placement& placement,
                                            HeartbeatSource source, Commands& commands) {
-  const LaunchKey key{{job.id(), placement.task}, placement.attempt};
-  const auto launch = machine.unresolved_launches.find(key);
-  const bool unresolved = launch != machine.unresolved_launches.end();
+  const LaunchKey launch{{job.id(), placement.task}, placement.attempt};
+  const bool unresolved = machine.launches.is_unresolved(launch);
   if (placement.stopping || job.cancelled) {
     if (!unresolved) {
       callbacks_.task_gone(job, placement.task, kAbsentReason);
-    } else if (!launch->second.pending) {
-      // The launch may still arrive, until the worker has seen a higher token.
-      dispatcher_.require_fencing_of(launch->second);
+    } else if (!machine.launches.is_call_pending(launch)) {
+      // A direct launch may still arrive, until the worker has seen a higher token.
+      dispatcher_.require_fencing_of(machine, launch);
     }
     return;
   }
@@ -239,29 +233,25 @@
     if (!unresolved) callbacks_.task_gone(job, placement.task, kAbsentReason);
     return;
   }
-  if (unresolved && launch->second.pending) return;
+  if (!machine.launches.may_repeat(launch)) return;
   // The launch is repeated only in the response to a heartbeat, which is never carried out late. It
   // stays unresolved until the worker's next heartbeat, as the response may still be in transit.
   // Otherwise a task stopped in the meantime would be counted as gone by the answer to the kill,
   // and be started both by the late response and on another machine.
   if (source != HeartbeatSource::worker) return;
   placement.stage = Placement::Stage::dispatched;
-  const bool recorded =
-      machine.unresolved_launches
-          .try_emplace(key, UnresolvedLaunch{election_.fencing_token(), true, machine.sequence})
-          .second;
+  machine.launches.add_response(launch, election_.fencing_token(), machine.sequence);
   spdlog::debug(
       "launch sent in heartbeat response: task={} attempt={} machine={} fencing_token={} "
-      "sequence={} recorded={}",
-      key.first.text(), key.second, machine.name, election_.fencing_token(), machine.sequence,
-      recorded);
-  commands.push_back({CommandType::launch, key.first, placement.attempt, 0});
+      "sequence={}",
+      launch.first.text(), launch.second, machine.name, election_.fencing_token(),
+      machine.sequence);
+  commands.push_back({CommandType::launch, launch.first, launch.second, 0});
 }
 
 void TaskReconciler::end_incarnations_before(Machine& machine, std::uint64_t incarnation) {
   const auto tasks = machine.tasks;  // a copy, as the loop may modify the set
-  machine.unresolved_launches.clear();
-  machine.direct_launches.clear();
+  machine.launches.clear();
   for (const auto& id : tasks) {
     Job* job = cluster_.job(id.job);
     if (job == nullptr) continue;
--- a/src/coordination/workers/task_reconciler.hpp
+++ b/src/coordination/workers/task_reconciler.hpp
@@ -26,7 +26,7 @@
 ///
 /// Updates the placement of each reported task, has the worker kill tasks without a placement, and
 /// has it forget exited tasks. Placed tasks that are not reported are launched again or counted as
-/// gone. Stateless; writes placements and the launches of `Machine`. A task is counted as gone only
+/// gone. Stateless; writes placements and `Machine::launches`. A task is counted as gone only
 /// when no launch of it can still take effect, so that none runs twice.
 ///
 /// Called by heartbeat processing and by machine health.
@@ -69,7 +69,7 @@
   void handle_exit(Machine& machine, Job& job, const protocol::TaskStatus& task);
   void complete_task(Machine& machine, Job& job, std::uint32_t task);
   bool is_result_durable(const protocol::TaskStatus& task) const;
-  bool can_forget(Machine& machine, const protocol::TaskStatus& task);
+  bool can_forget(Machine& machine, const LaunchKey& launch);
 
   const transport::Clock& clock_;
   ClusterState& cluster_;
--- a/tests/command_dispatcher_test.cpp
+++ b/tests/command_dispatcher_test.cpp
@@ -83,7 +83,7 @@
 
   Machine& machine(const std::string& name) { return cluster.machine(name); }
   bool is_unresolved(const std::string& name, std::uint32_t task) {
-    return machine(name).unresolved_launches.contains({{"job", task}, 1});
+    return machine(name).launches.is_unresolved({{"job", task}, 1});
   }
 
   const Settings settings = testing::settings();
@@ -140,14 +140,14 @@
   EXPECT_EQ(job->placements.at(0).stage, Placement::Stage::dispatched);
   EXPECT_TRUE(is_unresolved("m-1", 0));
   EXPECT_TRUE(is_unresolved("m-2", 1));
-  EXPECT_EQ(machine("m-1").direct_launches.size(), 1u);
+  EXPECT_TRUE(machine("m-1").launches.may_have_copies({{"job", 0}, 1}));
+  EXPECT_FALSE(machine("m-1").launches.may_have_copies({{"job", 1}, 1}));
   fencing_token = kToken + 1;  // raised while the launches are queued
   clock.run_for(kBatchWait);
   ASSERT_EQ(client.calls.size(), 2u);
   EXPECT_EQ(client.calls[0].request.body, commands({launch_command(0)}, kToken + 1));
-  const auto& launch = machine("m-1").unresolved_launches.begin()->second;
-  EXPECT_EQ(launch.fencing_token, kToken + 1);
-  EXPECT_TRUE(launch.pending);
+  EXPECT_EQ(machine("m-1").launches.unresolved_call_token({{"job", 0}, 1}), kToken + 1);
+  EXPECT_TRUE(machine("m-1").launches.is_call_pending({{"job", 0}, 1}));
 }
 
 TEST_F(CommandDispatcherTest, TaskIsUnplacedWhenItsIncarnationEndsBeforeTheLaunch) {
@@ -183,7 +183,7 @@
     ASSERT_EQ(client.calls.size(), 1u);
     EXPECT_EQ(client.calls[0].request.body, commands({kill_command(1)}));
     EXPECT_FALSE(is_unresolved("m-1", 0));
-    EXPECT_TRUE(machine("m-1").direct_launches.empty());
+    EXPECT_TRUE(machine("m-1").launches.empty());
     is_leading = true;
     cluster.remove_job("job");
     job = &testing::add_job(cluster, testing::spec("job", 2));
@@ -214,12 +214,10 @@
     ASSERT_EQ(client.calls.size(), 1u);
     client.calls[0].on_reply(outcome, {http_status, status(kToken), 0});
     EXPECT_EQ(is_unresolved("m-1", 0), !resolved);
-    for (const auto& [key, launch] : machine("m-1").unresolved_launches) {
-      EXPECT_FALSE(launch.pending);
-    }
+    EXPECT_FALSE(machine("m-1").launches.is_call_pending({{"job", 0}, 1}));
     EXPECT_EQ(answered.size(), is_answered ? 1u : 0u);
     EXPECT_EQ(unanswered.size(), is_answered ? 0u : 1u);
-    machine("m-1").unresolved_launches.clear();
+    machine("m-1").launches.clear();
   }
 }
 
@@ -304,11 +302,14 @@
 }
 
 TEST_F(CommandDispatcherTest, LaunchUnderAnEarlierTokenDoesNotRaiseTheToken) {
+  const LaunchKey launch{{"job", 0}, 1};
   clock.run_for(settings.lease_s);
-  dispatcher.require_fencing_of({kToken - 1, false, 0});
+  machine("m-1").launches.add_inherited(launch, kToken - 1);
+  dispatcher.require_fencing_of(machine("m-1"), launch);
   dispatcher.raise_fencing_token_if_due();
   EXPECT_EQ(fencing_token, kToken);
-  dispatcher.require_fencing_of({kToken, false, 0});
+  machine("m-1").launches.add_call(launch, kToken);
+  dispatcher.require_fencing_of(machine("m-1"), launch);
   dispatcher.raise_fencing_token_if_due();
   EXPECT_EQ(fencing_token, kToken + 1);
 }
--- a/tests/sim/fault_options.hpp
+++ b/tests/sim/fault_options.hpp
@@ -32,6 +32,8 @@
   double status_query_rate = 1;
   /// Direct commands that are delivered again within three lease durations.
   double duplicated_commands = 0;
+  /// Direct commands that are delivered 2 to 16 s late, after the caller has given up.
+  double delayed_commands = 0;
   /// Time a machine takes to fetch an image.
   transport::Seconds image_fetch_time = 1;
   /// Future limits of the key-value store, if the settings announce any.
--- a/tests/sim/network.cpp
+++ b/tests/sim/network.cpp
@@ -16,6 +16,8 @@
 constexpr Seconds kLatencySpread = 0.004;
 constexpr Seconds kSlowResponseSpread = 3.9;  // shorter than the workers' heartbeat timeout
 constexpr Seconds kMinDuplicateDelay = 1;
+constexpr Seconds kMinCommandDelay = 2;
+constexpr Seconds kCommandDelaySpread = 14;
 constexpr int kDuplicateLeases = 3;
 
 std::pair<std::string, std::string> sorted_pair(const std::string& a, const std::string& b) {
@@ -145,7 +147,14 @@
   if (!arrival || is_inbound_blocked(to) || is_outbound_blocked(from)) return;
   duplicate_at_random(from, address, request);
   if (request.target == protocol::kHeartbeatPath) last_heartbeat_[from] = request;
-  deliver_with_reply(*arrival, from, address, std::move(request), finish);
+  const Seconds delay = request.target == protocol::kCommandsPath ? random_command_delay() : 0;
+  deliver_with_reply(*arrival + delay, from, address, std::move(request), finish);
+}
+
+Seconds Network::random_command_delay() {
+  const double rate = world_.faults.delayed_commands;
+  if (rate <= 0 || world_.random_fraction() >= rate) return 0;
+  return kMinCommandDelay + world_.random_fraction() * kCommandDelaySpread;
 }
 
 Network::Finish Network::reply_once(const std::string& from, OnReply reply,
--- a/tests/sim/network.hpp
+++ b/tests/sim/network.hpp
@@ -66,6 +66,7 @@
   /// Arrival time of a request that is sent now; nullopt if no connection can be opened.
   std::optional<Seconds> arrival_time(const std::string& from, const std::string& to,
                                       bool new_connection, Seconds latency);
+  Seconds random_command_delay();
   void duplicate_at_random(const std::string& from, const std::string& address,
                            const Request& request);
   /// Delivers the request and passes the response to `finish`.
--- a/tests/task_reconciler_test.cpp
+++ b/tests/task_reconciler_test.cpp
@@ -132,7 +132,8 @@
   EXPECT_TRUE(reconcile({}, HeartbeatSource::call_answer).empty());
   EXPECT_EQ(types_of(reconcile({})), (std::vector{CommandType::launch}));
   EXPECT_EQ(placement->stage, Placement::Stage::dispatched);
-  EXPECT_EQ(machine->unresolved_launches.at(key).response_to_sequence, 3u);
+  EXPECT_TRUE(machine->launches.worker_sent_heartbeat(3).empty());
+  EXPECT_TRUE(machine->launches.is_unresolved(key));
   EXPECT_TRUE(reconcile({}).empty()) << "launched again while the launch is unresolved";
 }
 
@@ -144,10 +145,10 @@
 
 TEST_F(TaskReconcilerTest, AbsentStoppingTaskIsNotGoneWhileALaunchIsUnresolved) {
   placement->stopping = true;
-  machine->unresolved_launches[key] = {kToken, true, 0};
+  machine->launches.add_call(key, kToken);
   reconcile({});
   EXPECT_FALSE(is_fencing_required()) << "required while the launch call is still pending";
-  machine->unresolved_launches[key].pending = false;
+  machine->launches.call_unanswered(key);
   reconcile({});
   EXPECT_TRUE(gone_tasks.empty());
   EXPECT_TRUE(is_fencing_required());
@@ -155,10 +156,10 @@
 
 TEST_F(TaskReconcilerTest, AbsentTaskOfAnEarlierLeaderIsNotLaunchedAgain) {
   placement->recovered = true;
-  machine->unresolved_launches[key] = {kToken - 1, false, 0};
+  machine->launches.add_inherited(key, kToken - 1);
   EXPECT_TRUE(reconcile({}).empty());
   EXPECT_TRUE(gone_tasks.empty());
-  machine->unresolved_launches.clear();
+  machine->launches.worker_saw_token(kToken);
   EXPECT_TRUE(reconcile({}).empty());
   EXPECT_EQ(gone_tasks, (std::vector<std::uint32_t>{0}));
 }
@@ -173,25 +174,27 @@
 }
 
 TEST_F(TaskReconcilerTest, ExitedTaskIsRetainedUntilTheWorkerHasSeenAHigherToken) {
-  machine->direct_launches[key] = kToken;
-  machine->seen_fencing_token = kToken;
+  machine->launches.add_call(key, kToken);
+  machine->launches.call_answered(key);
+  machine->launches.worker_saw_token(kToken);
   EXPECT_TRUE(reconcile({status(TaskState::exited, ExitCause::stopped)}).empty());
   EXPECT_EQ(gone_tasks, (std::vector<std::uint32_t>{0}));
   EXPECT_EQ(machine->retained_exits, 1);
   EXPECT_FALSE(is_fencing_required());
-  machine->seen_fencing_token = kToken + 1;
+  machine->launches.worker_saw_token(kToken + 1);
   EXPECT_EQ(types_of(reconcile({status(TaskState::exited, ExitCause::stopped)})),
             (std::vector{CommandType::forget}));
-  EXPECT_TRUE(machine->direct_launches.empty());
+  EXPECT_TRUE(machine->launches.empty());
 }
 
 TEST_F(TaskReconcilerTest, ManyRetainedExitsRequireAHigherToken) {
   std::vector<TaskStatus> exits;
   for (std::uint32_t task = 0; task < 7; ++task) {
     exits.push_back({{"old", task}, 1, TaskState::exited, ExitCause::stopped, false});
-    machine->direct_launches[{exits.back().id, 1}] = kToken;
+    machine->launches.add_call({exits.back().id, 1}, kToken);
+    machine->launches.call_answered({exits.back().id, 1});
   }
-  machine->seen_fencing_token = kToken;
+  machine->launches.worker_saw_token(kToken);
   placement->stage = Placement::Stage::persisting;
   reconcile({exits.begin(), exits.end() - 1});
   EXPECT_FALSE(is_fencing_required());
@@ -201,13 +204,13 @@
 
 TEST_F(TaskReconcilerTest, NewIncarnationEndsTasksOfEarlierOnes) {
   cluster.place(*job, 1, *machine, 1, clock.now());  // its record is not durable yet
-  machine->unresolved_launches[key] = {kToken, true, 0};
+  machine->launches.add_call(key, kToken);
   reconciler.end_incarnations_before(*machine, 1);
   EXPECT_EQ(job->placements.size(), 2u);
   reconciler.end_incarnations_before(*machine, 2);
   EXPECT_EQ(gone_tasks, (std::vector<std::uint32_t>{0}));
   EXPECT_TRUE(job->placements.empty());
-  EXPECT_TRUE(machine->unresolved_launches.empty());
+  EXPECT_TRUE(machine->launches.empty());
 }
 
 }  // namespace
