Keep a restored placement uncertain until its machine is known to be current

Cause: a placement that a new leader restores from the records is not launched again when its worker lacks it, as the earlier leader may have stopped it without a record and given its share away. Any heartbeat that listed the task ended this state, also a late copy from before the stop; the machine's own heartbeat, without the task, then made the leader launch it.

Change: the state ends with a heartbeat of a machine that is confirmed only: the worker has seen this leader's token or has answered it directly. The same condition already governs placing anything there.

Why it works: such a heartbeat was sent after the term began. From then on the earlier leader's writes fail, so that it can give no share away, and its commands end at the token.

One unit test of TaskReconciler.

--- a/src/coordination/cluster_state/placement.hpp
+++ b/src/coordination/cluster_state/placement.hpp
@@ -31,8 +31,9 @@
   std::uint64_t incarnation = 0;  ///< of the worker's agent when the task was placed
   Stage stage = Stage::persisting;
   TaskState state = TaskState::fetching;  ///< last reported state; valid once acknowledged
-  /// Restored from the records of an earlier leader and not reported by the worker since. The task
-  /// may have ended long ago, and the earlier leader may have reassigned its resources and quota.
+  /// Restored from the records of an earlier leader, and not listed since in a heartbeat that is
+  /// known to be of this term. The task may have ended long ago, and the earlier leader may have
+  /// reassigned its resources and quota.
   bool recovered = false;
   bool stopping = false;
   double grace_s = 0;      ///< time allowed to save a checkpoint while stopping
--- a/src/coordination/workers/task_reconciler.cpp
+++ b/src/coordination/workers/task_reconciler.cpp
@@ -103,7 +103,8 @@
     FailureTracker::record_start(machine, job);
   }
   placement.stage = Placement::Stage::acknowledged;
-  placement.recovered = false;
+  // A delayed heartbeat may list a task that an earlier leader has stopped since.
+  if (machine.identity_confirmed) placement.recovered = false;
   placement.state = state;
   if (has_image) {
     const MachineType* type = cluster_.type(machine.type);
--- a/tests/launch_safety_test.cpp
+++ b/tests/launch_safety_test.cpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <cstddef>
 #include <memory>
+#include <optional>
 #include <ostream>
 #include <random>
 #include <string>
@@ -27,6 +28,7 @@
 constexpr const char* kMachine = "m-1";
 constexpr const char* kWorkerAddress = "10.1.0.1:9000";
 constexpr const char* kRelay = "node-1";
+constexpr std::uint64_t kFirstIncarnation = 1;
 constexpr int kRoundsToSettle = 4;
 constexpr Seconds kBatchWait = 0.02;  // longer than the batching delay of commands
 
@@ -46,6 +48,8 @@
   cancel,                  // the job is cancelled
   complete,                // the task completes on the worker
   expire_lease,            // the worker begins its next incarnation
+  change_leader,           // another leader takes over, with what the records say
+  deliver_old_heartbeat,   // a copy of the last heartbeat that lists the task as running arrives
 };
 
 /// By which route the worker's heartbeats reach the leader.
@@ -153,9 +157,17 @@
         worker_.expire_lease();
         response_.clear();  // responses to reports of an earlier incarnation are dropped
         break;
+      case Step::change_leader:
+        change_leader();
+        break;
+      case Step::deliver_old_heartbeat:
+        if (old_heartbeat_) deliver_heartbeat(*old_heartbeat_);  // nobody reads the response
+        break;
     }
     run_for(kBatchWait);
-    ran_after_gone_ = ran_after_gone_ || (is_gone() && worker_.runs(key_));
+    // The records still name a task that was stopped, so a later leader takes it for placed again.
+    was_gone_ = was_gone_ || is_gone();
+    ran_after_gone_ = ran_after_gone_ || (was_gone_ && worker_.runs(key_));
   }
 
   /// Delivers everything that is in transit and lets the worker report until the leader has seen
@@ -172,7 +184,7 @@
 
   /// Whether the leader has counted the task as gone or completed.
   bool is_gone() const { return !is_placed(); }
-  /// Whether the task was on its worker at a time at which the leader counted it as gone.
+  /// Whether the task was on its worker after a leader had counted it as gone.
   bool ran_after_gone() const { return ran_after_gone_; }
 
  private:
@@ -201,9 +213,13 @@
   void send_heartbeat() {
     if (!response_.empty()) return;
     const protocol::Heartbeat heartbeat = protocol::parse_heartbeat(worker_.report());
+    if (worker_.runs(key_)) old_heartbeat_ = heartbeat;
+    response_ = deliver_heartbeat(heartbeat);
+  }
+
+  std::string deliver_heartbeat(const protocol::Heartbeat& heartbeat) {
     if (route_ == Route::direct) {
-      response_ = endpoint_.handle(heartbeat, "", RelayRoute::direct, RecordsState::loaded).body;
-      return;
+      return endpoint_.handle(heartbeat, "", RelayRoute::direct, RecordsState::loaded).body;
     }
     protocol::RelayedHeartbeat relayed;
     relayed.heartbeat = heartbeat;
@@ -211,7 +227,32 @@
         route_ == Route::relayed_by_peer ? RelayRoute::direct : RelayRoute::key_value_store;
     const auto answers = endpoint_.handle_batch({kRelay, election_.fencing_token(), {relayed}},
                                                 relay_route, RecordsState::loaded);
-    response_ = answers.at(0).body;
+    return answers.at(0).body;
+  }
+
+  // The new leader knows the job and the placement by their records only. Calls of the earlier one
+  // stay in transit; nobody reads their replies.
+  void change_leader() {
+    for (auto& call : std::exchange(worker_client_.calls, {})) late_calls_.push_back(call.request);
+    const bool cancelled = job_->cancelled;
+    const bool done = job_->done[key_.first.task];
+    dispatcher_.restart();
+    cluster_.clear();
+    election_.raise_fencing_token();
+    processor_.begin_term();
+    job_ = &testing::add_job(cluster_, testing::spec(key_.first.job, 1));
+    job_->cancelled = cancelled;
+    storage::PlacementRecord record;
+    record.attempt = key_.second;
+    if (done) {
+      record.done.push_back({key_.first.task, key_.first.task});
+    } else {
+      record.placed.push_back({key_.first.task, key_.second, kMachine, kFirstIncarnation});
+    }
+    cluster_.restore_placements(*job_, 0, record, 1, election_.fencing_token() - 1, clock_.now());
+    Machine& machine = cluster_.machine(kMachine);
+    machine.address = kWorkerAddress;
+    if (cancelled && is_placed()) evictor_.stop(*job_, placement(), 0);
   }
 
   CommandDispatcher::Callbacks dispatcher_callbacks() {
@@ -252,6 +293,8 @@
   AcceptingStore store_client_;
   HeldCalls worker_client_;
   std::vector<Request> late_calls_;
+  std::optional<protocol::Heartbeat> old_heartbeat_;
+  bool was_gone_ = false;
   bool ran_after_gone_ = false;
   std::string response_;  // in transit to the worker; empty: none
   testing::ProtocolWorker worker_{kMachine, kWorkerAddress};
@@ -282,6 +325,22 @@
   return out << sequence.name;
 }
 
+std::vector<Step> concatenate(std::vector<Step> first, const std::vector<Step>& second) {
+  first.insert(first.end(), second.begin(), second.end());
+  return first;
+}
+
+// The leader knows that the task is running.
+const std::vector<Step> kRunning{Step::launch, Step::answer_calls, Step::heartbeat,
+                                 Step::deliver_response};
+
+// A leader has stopped the task, given its share to others, and ended. The records still name the
+// placement, and the worker has forgotten the task.
+const std::vector<Step> kStoppedBeforeLeaderChange =
+    concatenate(kRunning, {Step::heartbeat, Step::deliver_response, Step::stop, Step::answer_calls,
+                           Step::raise_token, Step::heartbeat, Step::deliver_response,
+                           Step::heartbeat, Step::deliver_response, Step::change_leader});
+
 const Sequence kSequences[] = {
     // A direct launch went unanswered, and the token was raised. The launch is repeated in the
     // response to a heartbeat, under the new token; a direct stop overtakes the response.
@@ -314,6 +373,29 @@
     {"copy_of_a_launch_arrives_after_its_task_was_forgotten",
      {Step::launch, Step::copy_calls, Step::answer_calls, Step::complete, Step::heartbeat,
       Step::deliver_response, Step::heartbeat, Step::deliver_response}},
+    // The new leader first hears of the machine by a heartbeat from before the stop.
+    {"old_heartbeat_reaches_a_new_leader_after_a_stop",
+     concatenate(kStoppedBeforeLeaderChange,
+                 {Step::deliver_old_heartbeat, Step::heartbeat, Step::deliver_response})},
+    {"old_heartbeat_reaches_two_new_leaders_after_a_stop",
+     concatenate(kStoppedBeforeLeaderChange,
+                 {Step::deliver_old_heartbeat, Step::change_leader, Step::deliver_old_heartbeat,
+                  Step::heartbeat, Step::deliver_response})},
+    {"old_heartbeat_reaches_a_new_leader_after_a_current_one",
+     concatenate(kStoppedBeforeLeaderChange,
+                 {Step::heartbeat, Step::deliver_old_heartbeat, Step::deliver_response,
+                  Step::heartbeat, Step::deliver_response})},
+    {"status_query_after_an_old_heartbeat",
+     concatenate(kStoppedBeforeLeaderChange,
+                 {Step::deliver_old_heartbeat, Step::inspect, Step::answer_calls, Step::heartbeat,
+                  Step::deliver_response})},
+    {"stop_by_a_new_leader_after_an_old_heartbeat",
+     concatenate(kStoppedBeforeLeaderChange,
+                 {Step::deliver_old_heartbeat, Step::stop, Step::heartbeat, Step::answer_calls,
+                  Step::deliver_response})},
+    {"launch_of_an_earlier_leader_arrives_after_a_stop_by_the_next",
+     {Step::launch, Step::leave_calls_unanswered, Step::change_leader, Step::heartbeat,
+      Step::deliver_late_calls, Step::stop, Step::answer_calls, Step::deliver_response}},
 };
 
 class LaunchSafety : public ::testing::TestWithParam<Sequence> {};
@@ -334,8 +416,10 @@
 
 // Relative frequencies of the steps after the first launch, in the order of `Step`. Frequent are
 // those that decide whether a launch can still be carried out.
-constexpr int kStepWeights[] = {0, 4, 4, 1, 3, 1, 4, 4, 3, 1, 4, 1, 1, 1};
-constexpr std::uint64_t kRandomSequences = 3000;
+constexpr int kStepWeights[] = {0, 4, 4, 1, 3, 1, 4, 4, 3, 1, 4, 1, 1, 1, 1, 2};
+// What has happened before the random steps.
+const std::vector<Step> kStarts[] = {{Step::launch}, kRunning, kStoppedBeforeLeaderChange};
+constexpr std::uint64_t kRandomSequences = 6000;
 constexpr int kRandomSteps = 16;
 
 // Guards against the same in orders of events that nobody has thought of.
@@ -346,7 +430,7 @@
     std::discrete_distribution<int> next_step(std::begin(kStepWeights), std::end(kStepWeights));
     LeaderAndWorker world(kRoutes[seed % std::size(kRoutes)]);
     std::vector<int> steps;
-    world.run(Step::launch);
+    for (const Step step : kStarts[random() % std::size(kStarts)]) world.run(step);
     for (int i = 0; i < kRandomSteps && !world.ran_after_gone(); ++i) {
       const int step = next_step(random);
       steps.push_back(step);
--- a/tests/task_reconciler_test.cpp
+++ b/tests/task_reconciler_test.cpp
@@ -110,6 +110,17 @@
   EXPECT_FALSE(placement->recovered);
 }
 
+// Guards against a stopped task that a delayed heartbeat makes a new leader launch again.
+TEST_F(TaskReconcilerTest, TaskReportedByAnUnconfirmedMachineStaysUncertain) {
+  placement->recovered = true;
+  machine->identity_confirmed = false;
+  reconcile({status(TaskState::running)});
+  EXPECT_TRUE(placement->recovered);
+  machine->identity_confirmed = true;
+  reconcile({status(TaskState::running)});
+  EXPECT_FALSE(placement->recovered);
+}
+
 TEST_F(TaskReconcilerTest, TaskWithoutPlacementIsKilled) {
   placement->attempt = 2;
   placement->stage = Placement::Stage::persisting;
