--- a/src/coordination/membership/peer_registry.cpp
+++ b/src/coordination/membership/peer_registry.cpp
@@ -5,6 +5,7 @@
 namespace larkroad::coordination {
 
 void PeerRegistry::observe(const protocol::PeerStatus& status, Seconds now) {
+  reported_at_[status.member] = now;
   if (!status.store_available) return;
   store_available_at_[status.member] = now;
   if (status.receives_heartbeats) heartbeats_received_at_[status.member] = now;
@@ -15,6 +16,11 @@
                      [&](const PeerSettings& peer) { return peer.member == member; });
 }
 
+bool PeerRegistry::any_is_heard(Seconds now) const {
+  return std::any_of(reported_at_.begin(), reported_at_.end(),
+                     [&](const auto& peer) { return is_recent(peer.second, now); });
+}
+
 bool PeerRegistry::any_has_store_access(Seconds now) const {
   return std::any_of(store_available_at_.begin(), store_available_at_.end(),
                      [&](const auto& peer) { return is_recent(peer.second, now); });
--- a/src/coordination/membership/peer_registry.hpp
+++ b/src/coordination/membership/peer_registry.hpp
@@ -26,6 +26,8 @@
 
   /// Whether this member is a configured peer.
   bool is_peer(const std::string& member) const;
+  /// Whether any peer has reported anything recently.
+  bool any_is_heard(Seconds now) const;
   /// Whether any peer reaches the key-value store.
   bool any_has_store_access(Seconds now) const;
   /// Whether any peer that reaches the key-value store, and could therefore become the leader,
@@ -38,6 +40,7 @@
   bool is_recent(Seconds reported_at, Seconds now) const;
 
   const Settings& settings_;
+  std::map<std::string, Seconds> reported_at_;  ///< when each peer last reported, by member
   /// When each peer last reported that it reaches the key-value store, by member.
   std::map<std::string, Seconds> store_available_at_;
   /// When each peer last reported that it receives heartbeats as well, by member.
--- a/tests/peer_registry_test.cpp
+++ b/tests/peer_registry_test.cpp
@@ -38,6 +38,7 @@
 }
 
 TEST_F(PeerRegistryTest, KnowsNothingBeforeTheFirstReport) {
+  EXPECT_FALSE(registry.any_is_heard(0));
   EXPECT_FALSE(registry.any_has_store_access(0));
   EXPECT_FALSE(registry.any_receives_heartbeats(0));
   EXPECT_EQ(next(0), "");
@@ -53,6 +54,7 @@
 
 TEST_F(PeerRegistryTest, PeersWithoutStoreAccessAreNotChosen) {
   report("node-1", false, true);
+  EXPECT_TRUE(registry.any_is_heard(kReportedAt));
   EXPECT_FALSE(registry.any_has_store_access(kReportedAt));
   EXPECT_FALSE(registry.any_receives_heartbeats(kReportedAt));
   EXPECT_EQ(next(), "");
@@ -65,6 +67,8 @@
 TEST_F(PeerRegistryTest, ReportsExpireAfterOneHeartbeatInterval) {
   report("node-1", true, true);
   const Seconds expiry = kReportedAt + settings.heartbeat_interval_s;
+  EXPECT_TRUE(registry.any_is_heard(expiry - 0.01));
+  EXPECT_FALSE(registry.any_is_heard(expiry));
   EXPECT_TRUE(registry.any_has_store_access(expiry - 0.01));
   EXPECT_TRUE(registry.any_receives_heartbeats(expiry - 0.01));
   EXPECT_EQ(next(expiry - 0.01), "node-1");
