Limit planned times, so that the scheduler never computes with infinity

Callers saw: nothing in the deployed build; with the sanitizers, a submission with a pullGb of 1e308 ended the leader, and each successor while the job lived.

Cause: the fetch time of such an image is infinite, and the remaining share of the task's time infinity by infinity; the rounded result was used as an index of a forecast (undefined behaviour). Estimates and deadlines of that size can give infinities, too.

Change: run times, fetch times and deadlines are limited to the planning horizon of 1e7 s, which replicas of services have already.

--- a/src/coordination/cluster_state/class_statistics.cpp
+++ b/src/coordination/cluster_state/class_statistics.cpp
@@ -3,11 +3,11 @@
 #include <algorithm>
 #include <cmath>
 
+#include "coordination/cluster_state/planning_horizon.hpp"
+
 namespace larkroad::coordination {
 namespace {
 
-// A replica of a service runs until its job is cancelled. The value exceeds every planning horizon.
-constexpr Seconds kServiceRunTime = 1e7;
 // The weight of the newest sample in the moving averages of a class.
 constexpr double kLearningRate = 0.1;
 // Bounds of one sample, so that a task resumed from a checkpoint or a grossly wrong estimate does
@@ -21,9 +21,10 @@
 }  // namespace
 
 Seconds WorkloadStatistics::expected_run(const JobSpec& spec) const {
-  if (spec.is_service()) return kServiceRunTime;
+  if (spec.is_service()) return kPlanningHorizon;
   const auto it = classes_.find(spec.job_class);
-  return spec.estimate_s * (it == classes_.end() ? 1 : it->second.run_time_ratio);
+  const double ratio = it == classes_.end() ? 1 : it->second.run_time_ratio;
+  return within_planning_horizon(spec.estimate_s * ratio);
 }
 
 void WorkloadStatistics::learn_run(const JobSpec& spec, Seconds run_time) {
--- a/src/coordination/cluster_state/machine_eligibility.cpp
+++ b/src/coordination/cluster_state/machine_eligibility.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 
+#include "coordination/cluster_state/planning_horizon.hpp"
 #include "coordination/cluster_state/resources.hpp"
 
 namespace larkroad::coordination {
@@ -19,7 +20,8 @@
 }
 
 Seconds fetch_time(const JobSpec& spec, const MachineType& type) {
-  return type.fetch_gb_per_s > 0 ? spec.image_gb / type.fetch_gb_per_s : 0;
+  if (type.fetch_gb_per_s <= 0) return 0;
+  return within_planning_horizon(spec.image_gb / type.fetch_gb_per_s);
 }
 
 std::optional<Seconds> shortest_start_time(const std::vector<MachineType>& types,
--- a/src/coordination/scheduling/cycle_view.cpp
+++ b/src/coordination/scheduling/cycle_view.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <tuple>
 
+#include "coordination/cluster_state/planning_horizon.hpp"
 #include "coordination/scheduling/forecast.hpp"
 #include "coordination/scheduling/job_queue.hpp"
 
@@ -197,7 +198,7 @@
   if (rate <= 0) return 0;
   double gb = view.fetching->contains(job.spec.image) ? 0 : job.spec.image_gb;
   for (const auto& [image, size] : *view.fetching) gb += size;
-  return gb / rate;
+  return within_planning_horizon(gb / rate);
 }
 
 double CycleView::lost_fits(const ClassReserve& reserve, const Job& job, const MachineView& view) {
--- a/src/coordination/scheduling/due_times.cpp
+++ b/src/coordination/scheduling/due_times.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "coordination/cluster_state/planning_horizon.hpp"
+
 namespace larkroad::coordination {
 namespace {
 
@@ -12,7 +14,7 @@
     return std::nullopt;
   }
   if (objective.kind == "deadline" && job.spec.deadline_s) {
-    return job.submitted + *job.spec.deadline_s * objective.times;
+    return job.submitted + within_planning_horizon(*job.spec.deadline_s * objective.times);
   }
   if (objective.kind == "finished" && !job.spec.is_service()) {
     return job.submitted + objective.within_s;
@@ -34,7 +36,9 @@
   for (const Objective& objective : cluster.settings().objectives) {
     if (const auto due = due_time(cluster, job, objective)) out.push_back(*due);
   }
-  if (out.empty() && job.spec.deadline_s) out.push_back(job.submitted + *job.spec.deadline_s);
+  if (out.empty() && job.spec.deadline_s) {
+    out.push_back(job.submitted + within_planning_horizon(*job.spec.deadline_s));
+  }
   std::sort(out.begin(), out.end());
   return out;
 }
