--- a/src/coordination/records/placement_writer.cpp
+++ b/src/coordination/records/placement_writer.cpp
@@ -30,14 +30,14 @@
 PlacementWriter::PlacementWriter(transport::Clock& clock, storage::KeyValueClient& store,
                                  Leadership& leadership, const Settings& settings,
                                  TransactionLimit& limit, ClusterState& cluster,
-                                 GarbageCollector& garbage, Callbacks callbacks)
+                                 GarbageCollector& garbage_collector, Callbacks callbacks)
     : clock_(clock),
       store_(store),
       leadership_(leadership),
       settings_(settings),
       limit_(limit),
       cluster_(cluster),
-      garbage_(garbage),
+      garbage_collector_(garbage_collector),
       callbacks_(std::move(callbacks)),
       scope_(clock) {}
 
@@ -305,10 +305,10 @@
                                        std::uint64_t revision) {
   const std::string id = job.id();
   spdlog::info("job finished: job={} outcome={}", id, job.cancelled ? "cancelled" : "done");
-  garbage_.add(remaining_keys);
+  garbage_collector_.add(remaining_keys);
   callbacks_.job_finished(id, revision);
   cluster_.remove_job(id);
-  garbage_.collect();
+  garbage_collector_.collect();
   callbacks_.request_scheduling_cycle();
 }
 
--- a/src/coordination/records/placement_writer.hpp
+++ b/src/coordination/records/placement_writer.hpp
@@ -40,7 +40,7 @@
 
   PlacementWriter(transport::Clock& clock, storage::KeyValueClient& store, Leadership& leadership,
                   const Settings& settings, TransactionLimit& limit, ClusterState& cluster,
-                  GarbageCollector& garbage, Callbacks callbacks);
+                  GarbageCollector& garbage_collector, Callbacks callbacks);
 
   /// Discards the state of the previous term. Nothing is written before `start`.
   void begin_term();
@@ -97,7 +97,7 @@
   const Settings& settings_;
   TransactionLimit& limit_;
   ClusterState& cluster_;
-  GarbageCollector& garbage_;
+  GarbageCollector& garbage_collector_;
   Callbacks callbacks_;
   transport::CallbackScope scope_;  // the current term of leadership
   bool started_ = false;
