--- a/src/coordination/api/request_forwarder.cpp
+++ b/src/coordination/api/request_forwarder.cpp
@@ -8,10 +8,13 @@
 #include "log.hpp"
 #include "protocol/peer_messages.hpp"
 #include "protocol/user_routes.hpp"
+#include "transport/http_status.hpp"
 
 namespace larkroad::coordination {
 namespace {
 
+namespace http_status = transport::http_status;
+
 using transport::Outcome;
 using transport::Request;
 using transport::Respond;
@@ -25,12 +28,13 @@
 constexpr std::size_t kMaxForwardedBodyBytes = transport::kBodyLimit / 4;
 
 bool is_forwardable(const Request& request, const Response& response) {
-  return response.status == 503 && request.target != protocol::kHealthPath;
+  return response.status == http_status::kServiceUnavailable &&
+         request.target != protocol::kHealthPath;
 }
 
 std::optional<Response> parse_peer_response(const PeerSettings& peer, Outcome outcome,
                                             const Response& reply) {
-  if (outcome != Outcome::answered || reply.status != 200) return std::nullopt;
+  if (outcome != Outcome::answered || reply.status != http_status::kOk) return std::nullopt;
   try {
     auto response = protocol::parse_forwarded_response(reply.body);
     return Response{response.status, std::move(response.body), response.retry_after_s};
@@ -74,7 +78,7 @@
   auto request = protocol::parse_forwarded_request(body);
   user_api_.handle({std::move(request.method), std::move(request.target), std::move(request.body)},
                    [respond = std::move(respond)](const Response& response) {
-                     respond({200,
+                     respond({http_status::kOk,
                               protocol::encode_forwarded_response(
                                   {response.status, response.body, response.retry_after_s}),
                               0});
--- a/src/coordination/controller/controller.cpp
+++ b/src/coordination/controller/controller.cpp
@@ -13,10 +13,13 @@
 #include "protocol/relay_messages.hpp"
 #include "protocol/user_routes.hpp"
 #include "protocol/worker_messages.hpp"
+#include "transport/http_status.hpp"
 
 namespace larkroad::coordination {
 namespace {
 
+namespace http_status = transport::http_status;
+
 // Fraction of the worker lease after which a controller without an answer from the key-value store
 // reports itself unhealthy, unless its peers have none either. Shorter failures only cost users a
 // few 503 responses.
@@ -147,14 +150,14 @@
 
 void Controller::handle_peer(transport::Request request, transport::Respond respond) {
   if (!is_peer_path(request.target) || request.method != "POST") {
-    respond({404, "{}", 0});
+    respond({http_status::kNotFound, "{}", 0});
     return;
   }
   try {
     dispatch_peer_request(request, respond);
   } catch (const std::exception& error) {
     spdlog::error("peer request refused: path={} error={}", request.target, error.what());
-    respond({400, protocol::encode_error(error.what()), 0});
+    respond({http_status::kBadRequest, protocol::encode_error(error.what()), 0});
   }
 }
 
@@ -168,7 +171,7 @@
     handle_cancellation(request.body, respond);
   } else {
     status_exchange_.handle_status(request.body);
-    respond({200, "{}", 0});
+    respond({http_status::kOk, "{}", 0});
   }
 }
 
@@ -180,10 +183,10 @@
   // A leader whose lease has expired also stops the tasks. This is safe because a notice alone
   // never causes a write.
   if (election_.holds_leader_key() && !leader_.apply_peer_cancellation(notice.job)) {
-    respond({400, protocol::encode_error("no such job here"), 0});
+    respond({http_status::kBadRequest, protocol::encode_error("no such job here"), 0});
     return;
   }
-  respond({200, "{}", 0});
+  respond({http_status::kOk, "{}", 0});
 }
 
 }  // namespace larkroad::coordination
--- a/src/coordination/controller/heartbeat_router.cpp
+++ b/src/coordination/controller/heartbeat_router.cpp
@@ -5,10 +5,13 @@
 
 #include "log.hpp"
 #include "protocol/job_messages.hpp"
+#include "transport/http_status.hpp"
 
 namespace larkroad::coordination {
 namespace {
 
+namespace http_status = transport::http_status;
+
 // A leader that is still loading its records delays a heartbeat by at most this fraction of the
 // heartbeat interval, and retries it this many times in that period.
 constexpr double kLoadingWaitRatio = 1.0 / 5;
@@ -22,7 +25,7 @@
 
 void HeartbeatRouter::handle_request(transport::Request request, transport::Respond respond) {
   if (request.method != "POST") {
-    respond({405, protocol::encode_error("no such method here"), 0});
+    respond({http_status::kMethodNotAllowed, protocol::encode_error("no such method here"), 0});
     return;
   }
   protocol::Heartbeat heartbeat;
@@ -30,7 +33,7 @@
     heartbeat = protocol::parse_heartbeat(request.body);
   } catch (const std::exception& error) {
     spdlog::error("malformed heartbeat: error={}", error.what());
-    respond({400, protocol::encode_error(error.what()), 0});
+    respond({http_status::kBadRequest, protocol::encode_error(error.what()), 0});
     return;
   }
   last_heartbeat_at_ = clock_.now();
@@ -70,7 +73,8 @@
   }
   const std::string& leader = relay.leader();
   const bool leader_elsewhere = leader != settings_.member;
-  pending.respond({421, protocol::encode_redirect(leader_elsewhere ? leader : ""), 0, true});
+  pending.respond({http_status::kMisdirectedRequest,
+                   protocol::encode_redirect(leader_elsewhere ? leader : ""), 0, true});
 }
 
 void HeartbeatRouter::handle_relayed_batch(const protocol::RelayBatch& batch,
@@ -98,12 +102,14 @@
   if (must_wait_for_loading(pending.loading_deadline)) {
     retry_after_loading_pause([this, pending = std::move(pending)] { process_batch(pending); });
   } else if (!election.may_answer_heartbeats()) {
-    pending.respond({421, protocol::encode_redirect(election.leader()), 0});
+    pending.respond(
+        {http_status::kMisdirectedRequest, protocol::encode_redirect(election.leader()), 0});
   } else if (!leader.is_own_fencing_token(pending.batch.fencing_token)) {
-    pending.respond({409, protocol::encode_fencing_token(election.fencing_token()), 0});
+    pending.respond(
+        {http_status::kConflict, protocol::encode_fencing_token(election.fencing_token()), 0});
   } else {
     const auto answers = leader.handle_relayed_heartbeats(pending.batch, pending.route);
-    pending.respond({200, protocol::encode_batch_answers(answers), 0});
+    pending.respond({http_status::kOk, protocol::encode_batch_answers(answers), 0});
   }
 }
 
--- a/src/coordination/relay/relay.cpp
+++ b/src/coordination/relay/relay.cpp
@@ -5,10 +5,13 @@
 
 #include "log.hpp"
 #include "protocol/job_messages.hpp"
+#include "transport/http_status.hpp"
 
 namespace larkroad::coordination {
 namespace {
 
+namespace http_status = transport::http_status;
+
 // Workers time out after 4 s and drop later answers; half of that time is left for the response.
 constexpr Seconds kDirectTimeout = 2;
 // The same for the key-value store route, on which heartbeats are gathered for longer.
@@ -28,12 +31,11 @@
 // Acknowledged heartbeats are kept for this many leases.
 constexpr double kAcknowledgementLeases = 2;
 
-constexpr int kOk = 200;
-constexpr int kStaleToken = 409;
-constexpr int kUnavailable = 503;
+constexpr int kStaleToken = http_status::kConflict;
 
 void respond_unavailable(const transport::Respond& respond) {
-  respond({kUnavailable, protocol::encode_error("the leader cannot be asked at present"), 0, true});
+  respond({http_status::kServiceUnavailable,
+           protocol::encode_error("the leader cannot be asked at present"), 0, true});
 }
 
 }  // namespace
@@ -192,7 +194,7 @@
                          const transport::Response& response) {
   std::vector<protocol::RelayedAnswer> answers;
   try {
-    if (outcome == transport::Outcome::answered && response.status == kOk) {
+    if (outcome == transport::Outcome::answered && response.status == http_status::kOk) {
       answers = protocol::parse_batch_answers(response.body);
     }
     if (outcome == transport::Outcome::answered && response.status == kStaleToken) {
@@ -229,7 +231,7 @@
       resend_in_full(std::move(item));
       continue;
     }
-    if (answer.status == kOk) acknowledge(item, now);
+    if (answer.status == http_status::kOk) acknowledge(item, now);
     item.respond({answer.status, std::move(answer.body), 0, true});
   }
 }
--- a/src/coordination/relay/store_relay_server.cpp
+++ b/src/coordination/relay/store_relay_server.cpp
@@ -6,26 +6,26 @@
 #include "coordination/relay/store_relay_limits.hpp"
 #include "log.hpp"
 #include "storage/records.hpp"
+#include "transport/http_status.hpp"
 
 namespace larkroad::coordination {
 namespace {
 
+namespace http_status = transport::http_status;
+
 using storage::Status;
 
 // Duration of one watch request, and delay before a retry, as fractions of the workers' lease.
 constexpr double kWatchLeaseRatio = 1.0 / 2;
 constexpr double kRetryLeaseRatio = 1.0 / 16;
 
-constexpr int kOk = 200;
-constexpr int kUnavailable = 503;
-
 // Reduces answers that are too large for one value: the last workers get 503 instead and send their
 // heartbeats again.
 std::string truncate_answers(const std::string& body, double max_bytes) {
   auto answers = protocol::parse_batch_answers(body);
   std::string out = body;
   for (size_t i = answers.size(); i > 0 && static_cast<double>(out.size()) > max_bytes; --i) {
-    answers[i - 1] = {kUnavailable, ""};
+    answers[i - 1] = {http_status::kServiceUnavailable, ""};
     out = protocol::encode_batch_answers(answers);
   }
   return out;
@@ -106,8 +106,9 @@
 void StoreRelayServer::write_answer(const BatchSource& source,
                                     const transport::Response& response) {
   const double max_bytes = settings_.strictest_store_limits().value_bytes() * kRelayFillRatio;
-  const std::string body =
-      response.status == kOk ? truncate_answers(response.body, max_bytes) : response.body;
+  const std::string body = response.status == http_status::kOk
+                               ? truncate_answers(response.body, max_bytes)
+                               : response.body;
   storage::Transaction transaction;
   transaction.preconditions.push_back({storage::kLeaderKey, fencing_token_()});
   transaction.writes.push_back(
--- a/src/coordination/scaling/machine_catalog.cpp
+++ b/src/coordination/scaling/machine_catalog.cpp
@@ -1,12 +1,14 @@
 #include "coordination/scaling/machine_catalog.hpp"
 
 #include "log.hpp"
+#include "transport/http_status.hpp"
 
 namespace larkroad::coordination {
 namespace {
 
+namespace http_status = transport::http_status;
+
 constexpr Seconds kCloudTimeout = 5;
-constexpr int kHttpOk = 200;
 // Delay before the catalog is read again, in heartbeat intervals: all controllers together send the
 // store and the cloud a few requests a second.
 constexpr double kReadRetryIntervals = 1.0 / 4;
@@ -51,7 +53,7 @@
 
 void MachineCatalog::handle_response(transport::Outcome outcome,
                                      const transport::Response& response) {
-  if (outcome != transport::Outcome::answered || response.status != kHttpOk) return;
+  if (outcome != transport::Outcome::answered || response.status != http_status::kOk) return;
   try {
     set_types(protocol::parse_catalog(response.body));
   } catch (const std::exception& error) {
--- a/src/coordination/workers/command_dispatcher.cpp
+++ b/src/coordination/workers/command_dispatcher.cpp
@@ -1,10 +1,13 @@
 #include "coordination/workers/command_dispatcher.hpp"
 
 #include "log.hpp"
+#include "transport/http_status.hpp"
 
 namespace larkroad::coordination {
 namespace {
 
+namespace http_status = transport::http_status;
+
 using protocol::Command;
 using protocol::CommandType;
 using transport::Outcome;
@@ -19,15 +22,12 @@
 // Minimum time between two increases of the fencing token, in lease durations.
 constexpr double kMinFencingPeriodLeases = 1.0 / 4;
 
-constexpr int kStatusOk = 200;
-constexpr int kStatusBadRequest = 400;
-constexpr int kStatusConflict = 409;
-
 // Whether the call has taken effect or never will, so that none of its launches is in transit.
 bool is_outcome_known(Outcome outcome, int status) {
   if (outcome == Outcome::not_sent) return true;
   if (outcome != Outcome::answered) return false;
-  return status == kStatusOk || status == kStatusConflict || status == kStatusBadRequest;
+  return status == http_status::kOk || status == http_status::kConflict ||
+         status == http_status::kBadRequest;
 }
 
 }  // namespace
@@ -145,8 +145,8 @@
   Machine* machine = cluster_.find_machine(machine_name);
   if (machine == nullptr) return;
   resolve_launches(*machine, commands, outcome, response.status);
-  const bool answered = outcome == Outcome::answered &&
-                        (response.status == kStatusOk || response.status == kStatusConflict);
+  const bool answered = outcome == Outcome::answered && (response.status == http_status::kOk ||
+                                                         response.status == http_status::kConflict);
   if (!answered) {
     spdlog::debug("command unanswered: machine={}", machine_name);
     callbacks_.machine_unanswered(*machine);
@@ -154,7 +154,7 @@
   }
   callbacks_.machine_answered(*machine);
   std::optional<Commands> kills = process_status_reply(machine_name, response.body);
-  if (!kills || response.status != kStatusOk) return;
+  if (!kills || response.status != http_status::kOk) return;
   // All other resulting commands are sent in the response to the worker's next heartbeat.
   std::erase_if(*kills, [](const Command& command) { return command.type != CommandType::kill; });
   if (!kills->empty()) queue(machine_name, *kills);
@@ -198,7 +198,7 @@
   client_.call(machine.address, {"GET", protocol::kInspectPath, ""}, settings_.heartbeat_interval_s,
                scope_.wrap([this, machine_name = machine.name](
                                Outcome outcome, const transport::Response& response) {
-                 if (outcome != Outcome::answered || response.status != kStatusOk) return;
+                 if (outcome != Outcome::answered || response.status != http_status::kOk) return;
                  if (Machine* answering = cluster_.find_machine(machine_name)) {
                    callbacks_.machine_answered(*answering);
                  }
--- a/src/coordination/workers/heartbeat_endpoint.cpp
+++ b/src/coordination/workers/heartbeat_endpoint.cpp
@@ -5,19 +5,18 @@
 #include <tuple>
 #include <utility>
 
+#include "transport/http_status.hpp"
+
 namespace larkroad::coordination {
 namespace {
 
+namespace http_status = transport::http_status;
+
 using protocol::Command;
 using protocol::CommandType;
 using protocol::RelayedAnswer;
 using protocol::RelayedHeartbeat;
 
-constexpr int kStatusOk = 200;
-constexpr int kStatusBadRequest = 400;
-constexpr int kStatusMisdirected = 421;
-constexpr int kStatusUnavailable = 503;
-
 // Sort key of a heartbeat among those of its machine.
 auto order_key(const protocol::Heartbeat& heartbeat) {
   return std::tie(heartbeat.incarnation, heartbeat.sequence);
@@ -41,12 +40,13 @@
   if (route == RelayRoute::direct) {
     const auto target =
         relay_assignment_.choose_redirect(heartbeat.machine, heartbeat.zone, via, now);
-    if (target) return {kStatusMisdirected, protocol::encode_redirect(*target), 0, true};
+    if (target)
+      return {http_status::kMisdirectedRequest, protocol::encode_redirect(*target), 0, true};
   }
   relay_assignment_.record_heartbeat(heartbeat.machine, via, now);
   const Commands commands = process(heartbeat, records);
-  return {kStatusOk, protocol::encode_heartbeat_response(election_.fencing_token(), commands), 0,
-          true};
+  return {http_status::kOk,
+          protocol::encode_heartbeat_response(election_.fencing_token(), commands), 0, true};
 }
 
 Commands HeartbeatEndpoint::process(const protocol::Heartbeat& heartbeat, RecordsState records) {
@@ -93,7 +93,7 @@
     try {
       heartbeat = protocol::parse_heartbeat(item.payload);
     } catch (const std::exception& error) {
-      return {kStatusBadRequest, protocol::encode_error(error.what())};
+      return {http_status::kBadRequest, protocol::encode_error(error.what())};
     }
   } else {
     const protocol::Heartbeat* base = find_base(item);
@@ -102,9 +102,9 @@
     heartbeat.sequence = item.sequence;
   }
   election_.observe_fencing_token(heartbeat.fencing_token);
-  if (!election_.may_answer_heartbeats()) return {kStatusUnavailable, ""};
+  if (!election_.may_answer_heartbeats()) return {http_status::kServiceUnavailable, ""};
   auto response = handle(heartbeat, via, route, records);
-  if (is_complete && response.status == kStatusOk) store_base(std::move(heartbeat));
+  if (is_complete && response.status == http_status::kOk) store_base(std::move(heartbeat));
   return {response.status, std::move(response.body)};
 }
 
