TaskReconciler test: pin the heartbeat that a repeated launch answers

Since the launches are kept by LaunchTracker, the test showed only that the launch is unresolved until a heartbeat after the third. It shows now that the fourth resolves it, as strict as the number that was compared before.

--- a/tests/task_reconciler_test.cpp
+++ b/tests/task_reconciler_test.cpp
@@ -146,6 +146,8 @@
   EXPECT_TRUE(machine->launches.worker_sent_heartbeat(3).empty());
   EXPECT_TRUE(machine->launches.is_unresolved(key));
   EXPECT_TRUE(reconcile({}).empty()) << "launched again while the launch is unresolved";
+  EXPECT_EQ(machine->launches.worker_sent_heartbeat(4).size(), 1u);
+  EXPECT_FALSE(machine->launches.is_unresolved(key));
 }
 
 TEST_F(TaskReconcilerTest, AbsentStoppingTaskIsGone) {
