--- a/review/4/scenario.cpp
+++ b/review/4/scenario.cpp
@@ -55,6 +55,7 @@
       deployment_.controllers->kill(static_cast<std::size_t>(restarted_));
       deployment_.bench.after(kBackAfter, [this] {
         deployment_.controllers->start(static_cast<std::size_t>(restarted_));
+        trouble_over_at_ = deployment_.bench.now();
       });
     }
     deployment_.bench.after(kBackAfter + 1, [this] { wait_until_healthy(); });
@@ -93,7 +94,7 @@
         all_old_enough = false;
         continue;
       }
-      const Seconds since = std::max(user->accepted_at, user->answered_at);
+      const Seconds since = std::max({user->accepted_at, user->answered_at, trouble_over_at_});
       if (now - since >= kForgottenAfter && most_others_answered(*user)) {
         deployment_.finish(broken, user->job() + " was accepted, and no question about it has been "
                                                  "answered for 90 s, while most others were");
@@ -118,6 +119,7 @@
   std::unique_ptr<Balancer> balancer_;
   std::vector<std::unique_ptr<JobUser>> users_;
   int restarted_ = 0;
+  Seconds trouble_over_at_ = 0;  // counted from then on
 };
 
 }  // namespace
