--- a/review/4/scenario.cpp
+++ b/review/4/scenario.cpp
@@ -33,7 +33,7 @@
         deployment_.bench.after(1.5, [this] { age(); });
       });
     });
-    return deployment_.run(119);
+    return deployment_.run(118);
   }
 
  private:
