Log what uses up the requests to the store when users' requests are rejected

Four causes were thought of, and neither the logs nor a metric told them apart: a watch that starts over, queries that read all jobs again and again, scheduling work, a store that refuses.

RequestStatistics counts the requests sent, by use, and the watches answered 410. One line per worker lease is logged while users' requests are rejected before they are sent.

--- a/src/storage/key_value_client.cpp
+++ b/src/storage/key_value_client.cpp
@@ -76,12 +76,14 @@
       timeout_(std::clamp(settings.lease_s * kTimeoutRatio, kMinTimeout, kMaxTimeout)),
       availability_(clock, timeout_),
       limiter_(settings, clock.now()),
-      queue_(clock, limiter_, [this](StoreRequest request) { send(std::move(request)); }),
+      statistics_(clock, settings.lease_s),
+      queue_(clock, limiter_, statistics_,
+             [this](StoreRequest request) { send(std::move(request)); }),
       scope_(clock) {}
 
 void KeyValueClient::submit(transport::Request request, Seconds timeout, RequestPriority priority,
                             std::function<void(Status, Response)> done) {
-  queue_.submit({std::move(request), timeout, 0, std::move(done)}, priority);
+  queue_.submit({std::move(request), timeout, 0, priority, std::move(done)});
 }
 
 void KeyValueClient::send(StoreRequest request) {
@@ -90,6 +92,7 @@
       scope_.wrap([this, done = std::move(request.done)](Outcome outcome, Response response) {
         record_outcome(outcome, response.status);
         const Status status = status_of(outcome, response.status);
+        statistics_.record_status(status);
         done(status, std::move(response));
       }));
 }
@@ -134,7 +137,7 @@
   auto on_answer = [this, done = std::move(done)](Status status, const Response& response) {
     done(read_commit_reply(status, response.body));
   };
-  queue_.submit({encode_commit(transaction), timeout_, changes, std::move(on_answer)}, priority);
+  queue_.submit({encode_commit(transaction), timeout_, changes, priority, std::move(on_answer)});
 }
 
 CommitReply KeyValueClient::read_commit_reply(Status status, const std::string& body) {
--- a/src/storage/key_value_client.hpp
+++ b/src/storage/key_value_client.hpp
@@ -8,6 +8,7 @@
 #include "settings.hpp"
 #include "storage/rate_limiter.hpp"
 #include "storage/request_queue.hpp"
+#include "storage/request_statistics.hpp"
 #include "storage/store_availability.hpp"
 #include "storage/store_messages.hpp"
 #include "transport/callback_scope.hpp"
@@ -84,6 +85,7 @@
   Seconds timeout_;  // of requests that do not block; lists have a longer one
   StoreAvailability availability_;
   RateLimiter limiter_;
+  RequestStatistics statistics_;
   RequestQueue queue_;
   transport::CallbackScope scope_;
 };
--- a/src/storage/request_queue.cpp
+++ b/src/storage/request_queue.cpp
@@ -14,17 +14,21 @@
 
 }  // namespace
 
-RequestQueue::RequestQueue(transport::Clock& clock, RateLimiter& limiter, Send send)
-    : clock_(clock), limiter_(limiter), send_(std::move(send)), scope_(clock) {}
+RequestQueue::RequestQueue(transport::Clock& clock, RateLimiter& limiter,
+                           RequestStatistics& statistics, Send send)
+    : clock_(clock),
+      limiter_(limiter),
+      statistics_(statistics),
+      send_(std::move(send)),
+      scope_(clock) {}
 
-void RequestQueue::submit(StoreRequest request, RequestPriority priority) {
+void RequestQueue::submit(StoreRequest request) {
   limiter_.refill(clock_.now());
-  if (priority == RequestPriority::lease) {
-    limiter_.take(request.writes);
-    send_(std::move(request));
+  if (request.priority == RequestPriority::lease) {
+    send_now(std::move(request));
     return;
   }
-  auto& queue = queues_[{priority, request.writes > 0}];
+  auto& queue = queues_[{request.priority, request.writes > 0}];
   if (is_full(queue.size())) {
     reject(std::move(request));
     return;
@@ -74,11 +78,17 @@
 void RequestQueue::send_front(std::deque<QueuedRequest>& queue) {
   StoreRequest request = std::move(queue.front().request);
   queue.pop_front();
+  send_now(std::move(request));
+}
+
+void RequestQueue::send_now(StoreRequest request) {
   limiter_.take(request.writes);
+  statistics_.record_sent(request.priority);
   send_(std::move(request));
 }
 
 void RequestQueue::reject(StoreRequest request) {
+  statistics_.record_rejected(request.priority);
   clock_.after(0, [done = std::move(request.done)] { done(Status::unavailable, {}); });
 }
 
--- a/src/storage/request_queue.hpp
+++ b/src/storage/request_queue.hpp
@@ -6,6 +6,7 @@
 #include <map>
 
 #include "storage/rate_limiter.hpp"
+#include "storage/request_statistics.hpp"
 #include "storage/store_messages.hpp"
 #include "transport/callback_scope.hpp"
 #include "transport/http.hpp"
@@ -17,6 +18,7 @@
   transport::Request request;
   Seconds timeout = 0;
   double writes = 0;  ///< the number of writes and deletes, which the store limits
+  RequestPriority priority = RequestPriority::scheduling;
   std::function<void(Status, transport::Response)> done;
 };
 
@@ -28,11 +30,12 @@
  public:
   using Send = std::function<void(StoreRequest)>;
 
-  RequestQueue(transport::Clock& clock, RateLimiter& limiter, Send send);
+  RequestQueue(transport::Clock& clock, RateLimiter& limiter, RequestStatistics& statistics,
+               Send send);
 
   /// Sends the request now or queues it. `done` is always called eventually. It is not called from
   /// within `submit`, unless `send` does so.
-  void submit(StoreRequest request, RequestPriority priority);
+  void submit(StoreRequest request);
 
  private:
   // Requests that write are queued separately, so that the write limit does not delay reads.
@@ -60,11 +63,13 @@
                            ExhaustedLimits& exhausted);
   bool may_send(const StoreRequest& request, ExhaustedLimits& exhausted) const;
   void send_front(std::deque<QueuedRequest>& queue);
+  void send_now(StoreRequest request);
   void reject(StoreRequest request);
   void schedule_next_pass();
 
   transport::Clock& clock_;
   RateLimiter& limiter_;
+  RequestStatistics& statistics_;
   Send send_;
   std::map<QueueKey, std::deque<QueuedRequest>> queues_;  // ordered by priority
   bool pass_scheduled_ = false;
