Follow keys of the store from its own revision, and never without a pause

Cause: the election read the leader key and watched from the revision of the key. The store retains the latest 10,000 changes; the watch was answered 410, and the key read and watched again at once: some 195 requests a second, which the limits on rates do not hold back but charge, without a bound, to the share of the controller, so that users' requests expired in its queue. A 410 counted as a proof of a healthy store.

Change: PrefixWatch reads keys with a list, whose answer has the revision of the store, and watches from there; without progress it pauses. The election, the job watch and the route through the store use it. The overdraft of a controller's share is limited to half a second of it. A controller whose users' requests are all rejected unsent counts as one without the store.

Why no test saw it: the simulated store retained all changes and had no limits on rates. It is as strict as the protocol now, for every test: 10,000 changes, 429, and 400 for keys, leases and watches that the protocol does not allow. It also listed a key that equals the prefix; it did not. A late transaction that was admitted earlier is not charged again (replay_commit). The store of the leader-and-worker tests answered a list with 404, which the protocol does not know; it answers with a list.

--- a/src/coordination/controller/controller.cpp
+++ b/src/coordination/controller/controller.cpp
@@ -20,9 +20,9 @@
 
 namespace http_status = transport::http_status;
 
-// Fraction of the worker lease after which a controller without an answer from the key-value store
-// reports itself unhealthy, unless its peers have none either. Shorter failures only cost users a
-// few 503 responses.
+// Fraction of the worker lease after which a controller that gets no user's request answered by the
+// key-value store reports itself unhealthy, unless its peers cannot either. Shorter failures only
+// cost users a few 503 responses.
 constexpr double kUnhealthyRatio = 1.0 / 8;
 // The leader's share of the store's rate limits; the followers split the rest evenly. The leader
 // gets most of the write quota because placements and completions cause far more writes than
@@ -113,9 +113,9 @@
   }
 }
 
-bool Controller::is_healthy() const {
+bool Controller::is_healthy() {
   if (!store_.has_ever_answered() || !catalog_.known()) return false;
-  if (store_.failing_for() < settings_.lease_s * kUnhealthyRatio) return true;
+  if (store_.users_failing_for() < settings_.lease_s * kUnhealthyRatio) return true;
   if (settings_.peers.empty()) return true;  // nobody else could serve the users
   // During a store outage no peer can serve users any better, so stay healthy. Peers tell of an
   // outage; a controller that hears none of them may be isolated, and its users better off
--- a/src/coordination/controller/controller.hpp
+++ b/src/coordination/controller/controller.hpp
@@ -57,7 +57,7 @@
   void apply_rate_limit_share(Role role);
   /// Health check result for the load balancer: whether this controller serves users at least as
   /// well as its peers.
-  bool is_healthy() const;
+  bool is_healthy();
 
   /// Sends the status to peers and, as the leader, checks whether to step down because workers
   /// reach only the peers.
--- a/src/coordination/controller/peer_status_exchange.cpp
+++ b/src/coordination/controller/peer_status_exchange.cpp
@@ -55,10 +55,10 @@
 
 protocol::PeerStatus PeerStatusExchange::own_status() {
   components_.heartbeat_router.update_relay_target();
-  const storage::KeyValueClient& store = components_.store;
+  storage::KeyValueClient& store = components_.store;
   protocol::PeerStatus status;
   status.member = settings_.member;
-  status.store_available = store.has_ever_answered() && store.failing_for() == 0;
+  status.store_available = store.has_ever_answered() && store.users_failing_for() == 0;
   status.fencing_token = components_.election.fencing_token();
   status.version = kOwnVersion;
   status.receives_heartbeats = components_.heartbeat_router.receives_heartbeats();
--- a/src/coordination/election/election.cpp
+++ b/src/coordination/election/election.cpp
@@ -31,9 +31,16 @@
       settings_(settings),
       callbacks_(std::move(callbacks)),
       lease_duration_(LeaderLease::duration(settings)),
-      term_scope_(clock) {}
+      term_scope_(clock),
+      // A request waits for at most one lease, so that a lost reply does not hide a leader change
+      // for longer than that.
+      leader_key_watch_(
+          clock, store, {storage::kLeaderKey, lease_duration_, lease_duration_ * kRetryRatio},
+          {[this](const storage::ListReply& reply) { handle_read(reply); },
+           [this](const storage::WatchReply& reply, Seconds) { handle_changes(reply.events); },
+           {}}) {}
 
-void Election::start() { read_leader_key(); }
+void Election::start() { leader_key_watch_.start(); }
 
 bool Election::holds_lease() const { return term_ && term_->lease.is_held(clock_.now()); }
 
@@ -51,49 +58,23 @@
 
 // ------------------------------------------------------------ watching the leader key
 
-void Election::read_leader_key() {
-  store_.get(
-      storage::kLeaderKey,
-      [this](Status status, const storage::Entry& entry) {
-        if (status == Status::ok) {
-          watched_revision_ = std::max(watched_revision_, entry.revision);
-          observe_leader(entry.revision, entry.data);
-          watch_leader_key();
-        } else if (status == Status::missing) {
-          observe_no_leader();
-          watch_leader_key();
-        } else {
-          clock_.after(lease_duration_ * kRetryRatio, [this] { read_leader_key(); });
-        }
-      },
-      RequestPriority::lease);
-}
-
-void Election::watch_leader_key() {
-  // The watch blocks for at most one lease, so that a lost reply does not hide a leader change for
-  // longer than that.
-  store_.watch(storage::kLeaderKey, watched_revision_, lease_duration_,
-               [this](const storage::WatchReply& reply) { handle_watch_reply(reply); });
-}
-
-void Election::handle_watch_reply(const storage::WatchReply& reply) {
-  if (reply.status == Status::ok) {
-    handle_watch_events(reply);
-    watch_leader_key();
-  } else if (reply.status == Status::too_old) {
-    read_leader_key();
-  } else {
-    clock_.after(lease_duration_ * kRetryRatio, [this] { read_leader_key(); });
+void Election::handle_read(const storage::ListReply& reply) {
+  const auto entry = std::find_if(
+      reply.entries.begin(), reply.entries.end(),
+      [](const storage::Entry& candidate) { return candidate.key == storage::kLeaderKey; });
+  if (entry != reply.entries.end()) {
+    observe_leader(entry->revision, entry->data);
+  } else if (reply.revision >= leader_revision_) {  // else it was read before the last write
+    observe_no_leader();
   }
 }
 
-void Election::handle_watch_events(const storage::WatchReply& reply) {
-  watched_revision_ = std::max(watched_revision_, reply.revision);
-  if (reply.events.empty()) {
+void Election::handle_changes(const std::vector<storage::Event>& events) {
+  if (events.empty()) {
     if (leader_.empty()) campaign(kKeyAbsent);
     return;
   }
-  const storage::Event& last = reply.events.back();
+  const storage::Event& last = events.back();
   if (last.deleted) {
     observe_no_leader();
   } else {
--- a/src/coordination/election/election.hpp
+++ b/src/coordination/election/election.hpp
@@ -13,10 +13,12 @@
 #include <functional>
 #include <optional>
 #include <string>
+#include <vector>
 
 #include "coordination/election/leader_lease.hpp"
 #include "settings.hpp"
 #include "storage/key_value_client.hpp"
+#include "storage/prefix_watch.hpp"
 #include "transport/callback_scope.hpp"
 #include "transport/clock.hpp"
 
@@ -92,10 +94,8 @@
   bool holds_lease() const;
 
   // Watching the leader key.
-  void read_leader_key();
-  void watch_leader_key();
-  void handle_watch_reply(const storage::WatchReply& reply);
-  void handle_watch_events(const storage::WatchReply& reply);
+  void handle_read(const storage::ListReply& reply);
+  void handle_changes(const std::vector<storage::Event>& events);
   void observe_leader(std::uint64_t revision, const storage::Json& data);
   void observe_no_leader();
 
@@ -130,7 +130,7 @@
   bool verification_in_flight_ = false;
   std::string leader_;
   std::uint64_t leader_revision_ = 0;
-  std::uint64_t watched_revision_ = 0;  // changes of the leader key are known up to here
+  storage::PrefixWatch leader_key_watch_;
 };
 
 }  // namespace larkroad::coordination
--- a/src/coordination/recovery/job_watch.cpp
+++ b/src/coordination/recovery/job_watch.cpp
@@ -28,45 +28,43 @@
       settings_(settings),
       cluster_(cluster),
       callbacks_(std::move(callbacks)),
-      scope_(clock) {}
+      scope_(clock),
+      watch_(clock, store,
+             {storage::kJobPrefix, leadership.job_view_interval(),
+              settings.heartbeat_interval_s * kRetryDelayIntervals},
+             {{},
+              [this](const storage::WatchReply& reply, Seconds sent_at) {
+                handle_changes(reply, sent_at);
+              },
+              [this](std::uint64_t revision) { handle_changes_lost(revision); }}) {}
 
 void JobWatch::begin_term() {
   scope_.restart();
+  watch_.stop();
   recovered_ = false;
-  watched_revision_ = 0;
+  recovered_revision_ = 0;
   finished_.clear();
 }
 
 void JobWatch::end_term() {
   scope_.restart();
+  watch_.stop();
   recovered_ = false;
 }
 
-void JobWatch::watch() {
-  const Seconds requested_at = clock_.now();
-  store_.watch(storage::kJobPrefix, watched_revision_, leadership_.job_view_interval(),
-               scope_.wrap([this, requested_at](const storage::WatchReply& reply) {
-                 handle_watch_reply(requested_at, reply);
-               }));
-}
+void JobWatch::start() { watch_.start_after(recovered_revision_); }
 
-void JobWatch::handle_watch_reply(Seconds requested_at, const storage::WatchReply& reply) {
-  if (reply.status == Status::too_old) {
-    leadership_.resign("job watch missed changes: the store no longer has those after revision " +
-                       std::to_string(watched_revision_));
-    return;
-  }
-  if (reply.status != Status::ok) {
-    scope_.after(settings_.heartbeat_interval_s * kRetryDelayIntervals, [this] { watch(); });
-    return;
-  }
+void JobWatch::handle_changes(const storage::WatchReply& reply, Seconds requested_at) {
   for (const auto& event : reply.events) {
     if (!event.deleted) apply(job_id_from_key(event.key), event.data, event.revision);
   }
-  watched_revision_ = std::max(watched_revision_, reply.revision);
-  std::erase_if(finished_, [this](const auto& entry) { return entry.second <= watched_revision_; });
+  std::erase_if(finished_, [this](const auto& entry) { return entry.second <= watch_.revision(); });
   leadership_.confirm_job_view(requested_at);
-  watch();
+}
+
+void JobWatch::handle_changes_lost(std::uint64_t revision) {
+  leadership_.resign("job watch missed changes: the store no longer has those after revision " +
+                     std::to_string(revision));
 }
 
 void JobWatch::apply(const storage::Entry& entry) {
--- a/src/coordination/recovery/job_watch.hpp
+++ b/src/coordination/recovery/job_watch.hpp
@@ -10,6 +10,7 @@
 #include "coordination/election/leadership.hpp"
 #include "settings.hpp"
 #include "storage/key_value_client.hpp"
+#include "storage/prefix_watch.hpp"
 #include "transport/callback_scope.hpp"
 
 namespace larkroad::coordination {
@@ -39,11 +40,11 @@
   /// Ends the term; outstanding replies and timers are ignored.
   void end_term();
   /// Sets the revision after which the watch reports changes.
-  void watch_from(std::uint64_t revision) { watched_revision_ = revision; }
+  void watch_from(std::uint64_t revision) { recovered_revision_ = revision; }
   /// Marks the state as recovered; from now on changes cause callbacks.
   void set_recovered() { recovered_ = true; }
   /// Starts the watch.
-  void start() { watch(); }
+  void start();
 
   /// Applies the record of a job to the cluster state, unless a newer one is known.
   void apply(const std::string& id, const storage::Json& data, std::uint64_t revision);
@@ -59,8 +60,8 @@
   bool apply_peer_cancellation(const std::string& id);
 
  private:
-  void watch();
-  void handle_watch_reply(Seconds requested_at, const storage::WatchReply& reply);
+  void handle_changes(const storage::WatchReply& reply, Seconds requested_at);
+  void handle_changes_lost(std::uint64_t revision);
   void handle_refresh_reply(const std::string& id, storage::Status status,
                             const storage::Entry& entry);
   void apply_record(const std::string& id, const storage::JobRecord& record,
@@ -74,9 +75,10 @@
   Callbacks callbacks_;
   transport::CallbackScope scope_;  // ends with the term of leadership
   bool recovered_ = false;
-  std::uint64_t watched_revision_ = 0;  // changes up to this revision have been applied
+  std::uint64_t recovered_revision_ = 0;  // changes up to this revision were read by the recovery
   // The revisions at which this leader finished jobs, by job.
   std::map<std::string, std::uint64_t> finished_;
+  storage::PrefixWatch watch_;
 };
 
 }  // namespace larkroad::coordination
--- a/src/coordination/relay/store_relay_server.cpp
+++ b/src/coordination/relay/store_relay_server.cpp
@@ -47,44 +47,30 @@
       settings_(settings),
       fencing_token_(std::move(fencing_token)),
       handler_(std::move(handler)),
-      scope_(clock) {}
+      scope_(clock),
+      watch_(clock, store,
+             {storage::kRelayRequestPrefix, settings.lease_s * kWatchLeaseRatio,
+              settings.lease_s * kRetryLeaseRatio},
+             {[](const storage::ListReply&) {},  // batches for an earlier leader
+              [this](const storage::WatchReply& reply, Seconds) { handle(reply.events); },
+              {}}) {}
 
 void StoreRelayServer::begin() {
   scope_.restart();
-  find_current_revision();
+  watch_.start();
 }
 
-void StoreRelayServer::end() { scope_.restart(); }
-
-void StoreRelayServer::find_current_revision() {
-  store_.list(storage::kRelayRequestPrefix, "",
-              scope_.wrap([this](const storage::ListReply& reply) {
-                if (reply.status == Status::ok) {
-                  watch(reply.revision);
-                } else {
-                  retry_later();
-                }
-              }));
-}
-
-void StoreRelayServer::retry_later() {
-  scope_.after(settings_.lease_s * kRetryLeaseRatio, [this] { find_current_revision(); });
+void StoreRelayServer::end() {
+  scope_.restart();
+  watch_.stop();
 }
 
-void StoreRelayServer::watch(std::uint64_t since_revision) {
-  const Seconds block = settings_.lease_s * kWatchLeaseRatio;
-  store_.watch(storage::kRelayRequestPrefix, since_revision, block,
-               scope_.wrap([this, since_revision](const storage::WatchReply& reply) {
-                 if (reply.status != Status::ok) {
-                   retry_later();
-                   return;
-                 }
-                 // Handling a batch can end this term, if the batch shows that there is a newer
-                 // leader.
-                 const auto is_current = scope_.is_current();
-                 for (const auto& event : reply.events) handle(event);
-                 if (is_current()) watch(std::max(since_revision, reply.revision));
-               }));
+void StoreRelayServer::handle(const std::vector<storage::Event>& events) {
+  // Handling a batch can end this term, if the batch shows that there is a newer leader.
+  const auto is_current = scope_.is_current();
+  for (const auto& event : events) {
+    if (is_current()) handle(event);
+  }
 }
 
 void StoreRelayServer::handle(const storage::Event& event) {
--- a/src/coordination/relay/store_relay_server.hpp
+++ b/src/coordination/relay/store_relay_server.hpp
@@ -4,10 +4,12 @@
 #include <cstdint>
 #include <functional>
 #include <string>
+#include <vector>
 
 #include "protocol/relay_messages.hpp"
 #include "settings.hpp"
 #include "storage/key_value_client.hpp"
+#include "storage/prefix_watch.hpp"
 #include "transport/callback_scope.hpp"
 #include "transport/http.hpp"
 
@@ -42,10 +44,7 @@
     std::string slot;
     std::uint64_t number = 0;  // lets the relay recognize late answers
   };
-  // Reads the store's current revision and watches from there.
-  void find_current_revision();
-  void retry_later();
-  void watch(std::uint64_t since_revision);
+  void handle(const std::vector<storage::Event>& events);
   void handle(const storage::Event& event);
   void write_answer(const BatchSource& source, const transport::Response& response);
 
@@ -54,6 +53,7 @@
   std::function<std::uint64_t()> fencing_token_;
   Handler handler_;
   transport::CallbackScope scope_;  // of the current term
+  storage::PrefixWatch watch_;
 };
 
 }  // namespace larkroad::coordination
--- a/src/storage/key_value_client.cpp
+++ b/src/storage/key_value_client.cpp
@@ -125,7 +125,17 @@
 
 void KeyValueClient::list(const std::string& prefix, const std::string& after,
                           std::function<void(ListReply)> done, RequestPriority priority) {
-  submit(encode_list(prefix, after), timeout_ * kListTimeoutFactor, priority,
+  submit_list(encode_list(prefix, after), timeout_ * kListTimeoutFactor, std::move(done), priority);
+}
+
+void KeyValueClient::list_few(const std::string& prefix, std::function<void(ListReply)> done,
+                              RequestPriority priority) {
+  submit_list(encode_list(prefix, ""), timeout_, std::move(done), priority);
+}
+
+void KeyValueClient::submit_list(transport::Request request, Seconds timeout,
+                                 std::function<void(ListReply)> done, RequestPriority priority) {
+  submit(std::move(request), timeout, priority,
          [done = std::move(done)](Status status, const Response& response) {
            done(read_reply("list", status, response, decode_list));
          });
--- a/src/storage/key_value_client.hpp
+++ b/src/storage/key_value_client.hpp
@@ -1,6 +1,7 @@
 /// Client of the consensus-backed key-value store, the only persistent state of the controllers.
 #pragma once
 
+#include <algorithm>
 #include <functional>
 #include <optional>
 #include <string>
@@ -38,6 +39,11 @@
             std::function<void(ListReply)> done,
             RequestPriority priority = RequestPriority::scheduling);
 
+  /// Reads the first page of the keys with a prefix that few keys have. Times out as early as other
+  /// requests do, unlike `list`.
+  void list_few(const std::string& prefix, std::function<void(ListReply)> done,
+                RequestPriority priority = RequestPriority::scheduling);
+
   /// Sends a transaction once.
   void commit(const Transaction& transaction, std::function<void(CommitReply)> done,
               RequestPriority priority = RequestPriority::scheduling);
@@ -64,6 +70,9 @@
 
   /// How long all requests have been failing; 0 when the latest one succeeded.
   Seconds failing_for() const { return availability_.failing_for(); }
+  /// How long no user's request could be served: all requests fail, or other requests of this
+  /// controller use up its share of the limits; 0 when the latest one could.
+  Seconds users_failing_for() { return std::max(failing_for(), queue_.users_starved_for()); }
   /// Whether a request should be attempted. False while requests have been failing for longer than
   /// one timeout, except for an occasional probe. Callers that serve a user then report at once
   /// that the store is unavailable.
@@ -74,6 +83,8 @@
  private:
   void submit(transport::Request request, Seconds timeout, RequestPriority priority,
               std::function<void(Status, transport::Response)> done);
+  void submit_list(transport::Request request, Seconds timeout, std::function<void(ListReply)> done,
+                   RequestPriority priority);
   void send(StoreRequest request);
   void record_outcome(transport::Outcome outcome, int http_status);
   CommitReply read_commit_reply(Status status, const std::string& body);
--- a/src/storage/rate_limiter.cpp
+++ b/src/storage/rate_limiter.cpp
@@ -11,6 +11,9 @@
 // The initial fill level of the buckets. It is below 1 because a controller that restarts may have
 // used tokens just before.
 constexpr double kInitialFill = 0.5;
+// How far requests that are never queued may overdraw the bucket, in seconds of this controller's
+// share. Below the time for which a user waits.
+constexpr Seconds kMaxOverdraft = 0.5;
 
 }  // namespace
 
@@ -49,7 +52,7 @@
 }
 
 void RateLimiter::take(double writes) {
-  request_tokens_ -= 1;
+  request_tokens_ = std::max(request_tokens_ - 1, -requests_per_second() * kMaxOverdraft);
   write_tokens_ -= writes;
 }
 
--- a/src/storage/rate_limiter.hpp
+++ b/src/storage/rate_limiter.hpp
@@ -35,7 +35,8 @@
   double writes_needed(double writes) const;
   bool has_writes(double needed) const { return write_tokens_ >= needed; }
   /// Takes the tokens of one request. The balance may become negative: a lease renewal overdraws
-  /// the bucket at the expense of later requests.
+  /// the bucket at the expense of later requests. The overdraft of requests is limited, so that
+  /// however many were sent, others follow within a second after the last of them.
   void take(double writes);
 
   /// Applies the lower limits from now on. Returns for how long; nullopt when nothing changes.
--- a/src/storage/request_queue.cpp
+++ b/src/storage/request_queue.cpp
@@ -84,14 +84,26 @@
 void RequestQueue::send_now(StoreRequest request) {
   limiter_.take(request.writes);
   statistics_.record_sent(request.priority);
+  if (request.priority == RequestPriority::user) users_starved_since_.reset();
   send_(std::move(request));
 }
 
 void RequestQueue::reject(StoreRequest request) {
   statistics_.record_rejected(request.priority);
+  if (request.priority == RequestPriority::user && !users_starved_since_) {
+    users_starved_since_ = clock_.now();
+  }
   clock_.after(0, [done = std::move(request.done)] { done(Status::unavailable, {}); });
 }
 
+Seconds RequestQueue::users_starved_for() {
+  const Seconds now = clock_.now();
+  limiter_.refill(now);
+  // No user may have asked since.
+  if (limiter_.has_request()) users_starved_since_.reset();
+  return users_starved_since_ ? now - *users_starved_since_ : 0;
+}
+
 void RequestQueue::schedule_next_pass() {
   if (pass_scheduled_) return;
   pass_scheduled_ = true;
--- a/src/storage/request_queue.hpp
+++ b/src/storage/request_queue.hpp
@@ -4,6 +4,7 @@
 #include <deque>
 #include <functional>
 #include <map>
+#include <optional>
 
 #include "storage/rate_limiter.hpp"
 #include "storage/request_statistics.hpp"
@@ -37,6 +38,9 @@
   /// within `submit`, unless `send` does so.
   void submit(StoreRequest request);
 
+  /// How long users' requests have been rejected with none sent; 0 once one could be sent.
+  Seconds users_starved_for();
+
  private:
   // Requests that write are queued separately, so that the write limit does not delay reads.
   struct QueueKey {
@@ -72,6 +76,7 @@
   RequestStatistics& statistics_;
   Send send_;
   std::map<QueueKey, std::deque<QueuedRequest>> queues_;  // ordered by priority
+  std::optional<Seconds> users_starved_since_;
   bool pass_scheduled_ = false;
   transport::CallbackScope scope_;
 };
--- a/tests/key_value_client_test.cpp
+++ b/tests/key_value_client_test.cpp
@@ -202,6 +202,27 @@
   EXPECT_EQ(client.failing_for(), 0);
 }
 
+// Guards against a controller that counts as healthy although its own requests leave none of the
+// limits to its users.
+TEST_F(KeyValueClientTest, ReportsHowLongUsersRequestsHaveBeenRejected) {
+  const auto spin_for = [&](Seconds length, bool with_users) {
+    for (const Seconds end = clock.now() + length; clock.now() < end;) {
+      client.extend(7, [](Status) {});
+      if (with_users)
+        client.get(
+            "a", [](Status, Entry) {}, RequestPriority::user);
+      clock.run_until(clock.now() + 0.005);
+    }
+  };
+  spin_for(20, true);
+  EXPECT_EQ(client.failing_for(), 0);
+  EXPECT_GT(client.users_failing_for(), 10);
+  spin_for(5, false);
+  EXPECT_GT(client.users_failing_for(), 15) << "users may stay away";
+  clock.run_until(clock.now() + 2);
+  EXPECT_EQ(client.users_failing_for(), 0);
+}
+
 // When a precondition fails after a lost reply, the key of the first write shows whether this
 // transaction was applied. An unchanged key may hold the same data from an earlier write, and must
 // not count as a success.
--- a/tests/leader_and_worker.hpp
+++ b/tests/leader_and_worker.hpp
@@ -46,7 +46,7 @@
 enum class Route { direct, relayed_by_peer, relayed_by_store };
 inline constexpr Route kRoutes[] = {Route::direct, Route::relayed_by_peer, Route::relayed_by_store};
 
-/// A key-value store that grants every lease and accepts every transaction.
+/// A key-value store without keys that grants every lease and accepts every transaction.
 class AcceptingStore : public transport::Client {
  public:
   void call(const std::string& /*endpoint*/, transport::Request request, Seconds /*timeout*/,
@@ -58,6 +58,9 @@
                {200, R"({"ledger":)" + std::to_string(++revision_) + "}"});
     } else if (target.starts_with("/grants")) {
       on_reply(transport::Outcome::answered, {200, R"({"hold":1})"});
+    } else if (target.starts_with("/store?")) {
+      on_reply(transport::Outcome::answered,
+               {200, R"({"pairs":[],"more":false,"ledger":)" + std::to_string(revision_) + "}"});
     } else {
       on_reply(transport::Outcome::answered,
                {404, R"({"ledger":)" + std::to_string(revision_) + "}"});
--- a/tests/rate_limiter_test.cpp
+++ b/tests/rate_limiter_test.cpp
@@ -42,6 +42,15 @@
   EXPECT_TRUE(limiter.has_request());
 }
 
+// Guards against a controller that serves nobody for minutes after a spell of such requests.
+TEST_F(RateLimiterTest, OverdraftOfRequestsIsLimited) {
+  RateLimiter limiter = full_limiter();
+  for (int i = 0; i < 100'000; ++i) limiter.take(0);
+  EXPECT_FALSE(limiter.has_request());
+  limiter.refill(101);
+  EXPECT_TRUE(limiter.has_request());
+}
+
 TEST_F(RateLimiterTest, TransactionLargerThanTheBucketNeedsAFullBucket) {
   RateLimiter limiter = full_limiter();
   const double bucket = limiter.writes_needed(1e9);
--- a/tests/sim/fake_key_value_store.cpp
+++ b/tests/sim/fake_key_value_store.cpp
@@ -11,6 +11,11 @@
 constexpr int kPreconditionsPerChange = 4;
 // Small enough that every run exercises paging.
 constexpr size_t kPageSize = 20;
+constexpr size_t kMaxKeyBytes = 200;
+constexpr double kMaxBlockMs = 60'000;
+constexpr double kMinLeaseMs = 100;
+constexpr double kMaxLeaseMs = 600'000;
+constexpr Seconds kBucketCapacity = 1;
 
 std::string parameter(const std::string& query, const std::string& name) {
   const auto at = query.find(name + "=");
@@ -23,16 +28,35 @@
   return path.substr(prefix.size());
 }
 
+bool is_valid_key(const std::string& key) {
+  return !key.empty() && key.size() <= kMaxKeyBytes && key.find(' ') == std::string::npos;
+}
+
+bool has_valid_keys(const Json& transaction) {
+  const auto& guards = transaction.at("guards");
+  const auto& operations = transaction.at("apply");
+  return std::all_of(guards.begin(), guards.end(),
+                     [](const Json& guard) { return is_valid_key(guard.at("k")); }) &&
+         std::all_of(operations.begin(), operations.end(), [](const Json& operation) {
+           return is_valid_key(operation.contains("drop") ? operation.at("drop")
+                                                          : operation.at("write"));
+         });
+}
+
 }  // namespace
 
 void FakeKeyValueStore::handle(const Request& request, const std::string& from, Respond respond) {
   expire_leases();
+  ++requests_of[from];
   const auto question_mark = request.target.find('?');
   const std::string path = request.target.substr(0, question_mark);
   const std::string query =
       question_mark == std::string::npos ? "" : request.target.substr(question_mark + 1);
   if (outage_) {
     respond({503, "{}"});
+  } else if (!within_rate_limits(path, request)) {
+    ++rate_refusals;
+    respond({429, "{}"});
   } else if (path == "/watch") {
     watch(query, from, std::move(respond));
   } else if (path == "/commit") {
@@ -51,6 +75,27 @@
   }
 }
 
+// ---------------------------------------------------------------- limits on rates
+
+bool FakeKeyValueStore::TokenBucket::take(double count, double per_second, Seconds now) {
+  const double capacity = per_second * kBucketCapacity;
+  tokens = std::min(capacity, tokens + (now - refilled_at) * per_second);
+  refilled_at = now;
+  if (tokens < count) return false;
+  tokens -= count;
+  return true;
+}
+
+bool FakeKeyValueStore::within_rate_limits(const std::string& path, const Request& request) {
+  const Seconds now = world_.events.now();
+  if (!request_bucket_.take(1, limits.rps, now)) return false;
+  if (path != "/commit") return true;
+  const auto changes = static_cast<double>(Json::parse(request.body).at("apply").size());
+  return write_bucket_.take(changes, limits.write_rps, now);
+}
+
+// ---------------------------------------------------------------- reads
+
 Response FakeKeyValueStore::get(const std::string& key) const {
   const auto it = entries_.find(key);
   if (it == entries_.end()) return {404, Json{{"ledger", revision_}}.dump()};
@@ -71,7 +116,9 @@
       requested.empty() ? kPageSize : std::min<size_t>(std::stoul(requested), kPageSize);
   Json pairs = Json::array();
   bool more = false;
-  for (auto it = entries_.upper_bound(since.empty() ? prefix : since); it != entries_.end(); ++it) {
+  // A key that equals the prefix starts with it.
+  auto it = since.empty() ? entries_.lower_bound(prefix) : entries_.upper_bound(since);
+  for (; it != entries_.end(); ++it) {
     if (!it->first.starts_with(prefix)) break;
     if (pairs.size() >= limit) {
       more = true;
@@ -85,7 +132,9 @@
 // ---------------------------------------------------------------- leases
 
 Response FakeKeyValueStore::grant_lease(const Request& request) {
-  const double time_to_live = Json::parse(request.body).at("lifeMs").get<double>() / 1000;
+  const double life_ms = Json::parse(request.body).at("lifeMs").get<double>();
+  if (life_ms < kMinLeaseMs || life_ms > kMaxLeaseMs) return {400, "{}"};
+  const double time_to_live = life_ms / 1000;
   leases_[next_lease_] = {time_to_live, world_.events.now() + time_to_live};
   return {200, Json{{"hold", next_lease_++}}.dump()};
 }
@@ -133,7 +182,7 @@
       ++it;
       continue;
     }
-    changes_.push_back({++revision_, it->first, true, {}});
+    record_change({++revision_, it->first, true, {}});
     it = entries_.erase(it);
     any_deleted = true;
   }
@@ -153,6 +202,7 @@
       failed.push_back(precondition.at("k"));
     }
   }
+  if (!has_valid_keys(transaction)) return {400, R"({"error":"bad key"})"};
   if (exceeds_limits(transaction, body.size())) {
     ++size_refusals;
     return {400, R"({"error":"too large"})"};
@@ -172,6 +222,13 @@
   return {200, Json{{"ledger", revision_}}.dump()};
 }
 
+Response FakeKeyValueStore::carry_out_late(const Request& transaction) {
+  expire_leases();
+  const Response response = commit(transaction.body);
+  notify_watchers();
+  return response;
+}
+
 bool FakeKeyValueStore::exceeds_limits(const Json& transaction, size_t body_size) const {
   const auto changes = static_cast<int>(transaction.at("apply").size());
   const auto preconditions = static_cast<int>(transaction.at("guards").size());
@@ -185,18 +242,38 @@
   for (const auto& item : operations) {
     if (item.contains("drop")) {
       const std::string key = item.at("drop");
-      if (entries_.erase(key) > 0) changes_.push_back({revision_, key, true, {}});
+      if (entries_.erase(key) > 0) record_change({revision_, key, true, {}});
       continue;
     }
     const std::string key = item.at("write");
     entries_[key] = {item.at("data"), revision_, item.value("hold", std::uint64_t{0})};
-    changes_.push_back({revision_, key, false, item.at("data")});
+    record_change({revision_, key, false, item.at("data")});
+  }
+}
+
+void FakeKeyValueStore::record_change(Change change) {
+  changes_.push_back(std::move(change));
+  while (changes_.size() > kRetainedChanges) {
+    compacted_revision_ = changes_.front().revision;
+    changes_.pop_front();
+  }
+}
+
+void FakeKeyValueStore::make_unrelated_changes(size_t count) {
+  for (size_t i = 0; i < count; ++i) {
+    apply(Json::array({{{"write", "unrelated"}, {"data", i}}}));
+    notify_watchers();
   }
 }
 
 // ---------------------------------------------------------------- watches
 
 void FakeKeyValueStore::watch(const std::string& query, const std::string& from, Respond respond) {
+  const double block_ms = std::stod(parameter(query, "blockMs"));
+  if (block_ms > kMaxBlockMs) {
+    respond({400, "{}"});
+    return;
+  }
   auto watcher = std::make_shared<Watcher>();
   watcher->prefix = parameter(query, "starts");
   watcher->since = std::stoull(parameter(query, "since"));
@@ -204,7 +281,7 @@
   watcher->from = from;
   if (answer(*watcher, WhenEmpty::keep_waiting)) return;
   watchers_.push_back(watcher);
-  const Seconds wait = std::stod(parameter(query, "blockMs")) / 1000;
+  const Seconds wait = block_ms / 1000;
   world_.events.schedule_at(world_.events.now() + wait, [this, watcher] {
     expire_leases();
     if (!watcher->answered && !outage_) answer(*watcher, WhenEmpty::answer);
@@ -220,16 +297,28 @@
 
 bool FakeKeyValueStore::answer(Watcher& watcher, WhenEmpty when_empty) {
   if (is_watch_held(watcher.from)) return false;
+  if (watcher.since < compacted_revision_) {
+    watcher.answered = true;
+    watcher.respond({410, "{}"});
+    return true;
+  }
   Json events = Json::array();
-  for (const auto& change : changes_) {
-    if (change.revision <= watcher.since || !change.key.starts_with(watcher.prefix)) continue;
+  const auto first = std::upper_bound(
+      changes_.begin(), changes_.end(), watcher.since,
+      [](std::uint64_t revision, const Change& change) { return revision < change.revision; });
+  for (auto it = first; it != changes_.end(); ++it) {
+    const Change& change = *it;
+    if (!change.key.starts_with(watcher.prefix)) continue;
     if (change.deleted) {
       events.push_back({{"drop", change.key}, {"mark", change.revision}});
     } else {
       events.push_back({{"write", change.key}, {"data", change.data}, {"mark", change.revision}});
     }
   }
-  if (events.empty() && when_empty == WhenEmpty::keep_waiting) return false;
+  if (events.empty() && when_empty == WhenEmpty::keep_waiting) {
+    watcher.since = revision_;
+    return false;
+  }
   watcher.answered = true;
   watcher.respond({200, Json{{"ledger", revision_}, {"events", events}}.dump()});
   return true;
--- a/tests/sim/fake_key_value_store.hpp
+++ b/tests/sim/fake_key_value_store.hpp
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <memory>
 #include <string>
@@ -16,8 +17,9 @@
 class World;
 
 /// Models a single linearizable store: conditional transactions, paged range reads, leases with
-/// attached keys, long-polling watches, size limits, and outages during which no lease expires.
-/// It does not model replication, leader election within the store, compaction, or rate limits.
+/// attached keys, long-polling watches, a limited number of retained changes, limits on sizes and
+/// rates, and outages during which no lease expires. It does not model replication or leader
+/// election within the store.
 class FakeKeyValueStore {
  public:
   FakeKeyValueStore(World& world, const StoreLimits& initial_limits)
@@ -32,11 +34,23 @@
     held_watches_[controller] = until;
   }
   bool has_keys(const std::string& prefix) const;
+  /// Carries out a transaction that was admitted earlier: it counts against no limit on rates.
+  Response carry_out_late(const Request& transaction);
+  /// Makes this many changes at once, each with a revision of its own, to a key that no controller
+  /// reads.
+  void make_unrelated_changes(size_t count);
 
   /// Scenarios may change the limits during a run.
   StoreLimits limits;
   /// Number of transactions rejected for exceeding a size limit.
   size_t size_refusals = 0;
+  /// Number of requests rejected for exceeding a limit on rates.
+  size_t rate_refusals = 0;
+  /// Number of requests received, by controller.
+  std::map<std::string, size_t> requests_of;
+
+  /// The number of most recent changes that watches can still start before.
+  static constexpr size_t kRetainedChanges = 10'000;
 
  private:
   struct Entry {
@@ -63,6 +77,15 @@
   };
   enum class WhenEmpty { keep_waiting, answer };
 
+  /// A bucket that holds what one second permits.
+  struct TokenBucket {
+    bool take(double count, double per_second, Seconds now);
+    double tokens = 0;
+    Seconds refilled_at = -1;  // so that it is full at the start of a run
+  };
+
+  bool within_rate_limits(const std::string& path, const Request& request);
+  void record_change(Change change);
   Response get(const std::string& key) const;
   Response list(const std::string& query) const;
   Response grant_lease(const Request& request);
@@ -80,7 +103,11 @@
   World& world_;
   std::map<std::string, Entry> entries_;
   std::map<std::uint64_t, Lease> leases_;
-  std::vector<Change> changes_;
+  std::deque<Change> changes_;
+  /// The revision of the newest change that is no longer retained.
+  std::uint64_t compacted_revision_ = 0;
+  TokenBucket request_bucket_;
+  TokenBucket write_bucket_;
   std::vector<std::shared_ptr<Watcher>> watchers_;
   std::map<std::string, Seconds> held_watches_;
   std::uint64_t revision_ = 0;
--- a/tests/sim/world.cpp
+++ b/tests/sim/world.cpp
@@ -104,10 +104,7 @@
 }
 
 int World::replay_commit(const std::pair<std::string, Request>& transaction) {
-  int status = 0;
-  store.handle(transaction.second, transaction.first,
-               [&](const Response& response) { status = response.status; });
-  return status;
+  return store.carry_out_late(transaction.second).status;
 }
 
 }  // namespace larkroad::sim
