Recognize a worker that restarts in the same session, and end its tasks

Cause: the worker counted its messages from 1 again. The leader took them for old ones, answered them 200, which renewed the lease, and read nothing in them.

Change: a message that counts below an earlier one of its session makes the leader ask; an answer that counts below what was known at the question, or a newer message with a lower token, shows the restart. Its heartbeats are then answered 503 until its next session, nothing on it counts as gone and nothing is placed there, the fencing token is raised and shown to it, and what it runs is stopped.

--- a/src/coordination/cluster_state/machine.hpp
+++ b/src/coordination/cluster_state/machine.hpp
@@ -38,7 +38,9 @@
   Seconds status_queried_at = -1;        ///< when its status was last queried by a call; -1: never
   std::uint64_t incarnation = 0;         ///< highest known incarnation of its agent
   std::uint64_t sequence = 0;            ///< sequence number of its newest heartbeat
-  std::uint64_t seen_fencing_token = 0;  ///< the highest fencing token that it has reported
+  std::uint64_t heartbeat_sequence = 0;  ///< sequence number of its newest periodic heartbeat
+  /// The highest fencing token that it has reported in this incarnation.
+  std::uint64_t seen_fencing_token = 0;
   Seconds rented_at = 0;                 ///< when it was requested from the cloud
   /// Time of the newest heartbeat, sent periodically or in response to a call; -1: none.
   Seconds last_heartbeat_at = -1;
@@ -53,6 +55,9 @@
   Seconds known_to_exist_at = -1;
   std::optional<Seconds> reclaim_at;  ///< time of reclamation announced by the spot notice
   bool lease_expired = false;         ///< its lease has expired; it must register again
+  /// Its worker has restarted without its tasks, but in the same incarnation. Its lease is not
+  /// renewed any more, so that it must begin the next one.
+  bool restarted = false;
   Seconds lease_expired_at = -1;      ///< when the expiry was detected; -1: never
   bool being_released = false;        ///< is being returned to the cloud
   int retained_exits = 0;    ///< exited tasks in its last heartbeat that it must not discard yet
--- a/src/coordination/leader/leader_wiring.cpp
+++ b/src/coordination/leader/leader_wiring.cpp
@@ -65,6 +65,7 @@
             return heartbeat_processor_.process(heartbeat, HeartbeatSource::call_answer);
           },
       .machine_answered = [this](Machine& machine) { machine_health_.call_answered(machine); },
+      .worker_restarted = [this](Machine& machine) { machine_health_.worker_restarted(machine); },
       .machine_unanswered = [this](Machine& machine) { machine_health_.call_unanswered(machine); },
       .request_scheduling_cycle = [this] { request_scheduling_cycle(); },
   };
@@ -77,6 +78,7 @@
             task_reconciler_.end_incarnations_before(machine, machine.incarnation + 1);
           },
       .query_status = [this](Machine& machine) { command_dispatcher_.query_status(machine); },
+      .require_fencing = [this] { command_dispatcher_.require_fencing(); },
       .release_machines =
           [this](const std::vector<std::string>& names) {
             cloud_reconciler_.release_machines(names);
--- a/src/coordination/relay/store_relay_server.cpp
+++ b/src/coordination/relay/store_relay_server.cpp
@@ -13,8 +13,6 @@
 
 namespace http_status = transport::http_status;
 
-using storage::Status;
-
 // Duration of one watch request, and delay before a retry, as fractions of the workers' lease.
 constexpr double kWatchLeaseRatio = 1.0 / 2;
 constexpr double kRetryLeaseRatio = 1.0 / 16;
--- a/src/coordination/workers/command_dispatcher.cpp
+++ b/src/coordination/workers/command_dispatcher.cpp
@@ -56,8 +56,9 @@
     Placement& placement = job.placements.at(task);
     Machine* machine = cluster_.find_machine(placement.machine);
     if (machine == nullptr || machine->incarnation != placement.incarnation ||
-        machine->lease_expired) {
-      // The incarnation ended while the placement record was written; no command was sent.
+        machine->lease_expired || machine->restarted) {
+      // The incarnation ended, or its worker restarted, while the placement record was written; no
+      // command was sent.
       cluster_.unplace(job, task, clock_.now());
       callbacks_.request_scheduling_cycle();
       continue;
@@ -117,7 +118,7 @@
 
 bool CommandDispatcher::is_stale_launch(const Machine& machine, const Command& command) const {
   if (command.type != CommandType::launch) return false;
-  if (!callbacks_.is_leader()) return true;
+  if (!callbacks_.is_leader() || machine.restarted) return true;
   const Job* job = std::as_const(cluster_).job(command.id.job);
   if (job == nullptr) return true;
   const auto it = job->placements.find(command.id.task);
@@ -132,47 +133,57 @@
   transport::Request request{
       "POST", protocol::kCommandsPath,
       protocol::encode_commands(callbacks_.fencing_token(), machine.incarnation, commands)};
-  client_.call(machine.address, std::move(request),
-               settings_.heartbeat_interval_s * kCallTimeoutIntervals,
-               scope_.wrap([this, machine_name = machine.name, commands](
-                               Outcome outcome, const transport::Response& response) {
-                 handle_reply(machine_name, commands, outcome, response);
-               }));
+  client_.call(
+      machine.address, std::move(request), settings_.heartbeat_interval_s * kCallTimeoutIntervals,
+      scope_.wrap([this, target = Target{machine.name, machine.incarnation, machine.sequence},
+                   commands](Outcome outcome, const transport::Response& response) {
+        handle_reply(target, commands, outcome, response);
+      }));
 }
 
-void CommandDispatcher::handle_reply(const std::string& machine_name, const Commands& commands,
+void CommandDispatcher::handle_reply(const Target& target, const Commands& commands,
                                      Outcome outcome, const transport::Response& response) {
-  Machine* machine = cluster_.find_machine(machine_name);
+  Machine* machine = cluster_.find_machine(target.machine);
   if (machine == nullptr) return;
   resolve_launches(*machine, commands, outcome, response.status);
   const bool answered = outcome == Outcome::answered && (response.status == http_status::kOk ||
                                                          response.status == http_status::kConflict);
   if (!answered) {
-    spdlog::debug("command unanswered: machine={}", machine_name);
+    spdlog::debug("command unanswered: machine={}", target.machine);
     callbacks_.machine_unanswered(*machine);
     return;
   }
   callbacks_.machine_answered(*machine);
-  std::optional<Commands> kills = process_status_reply(machine_name, response.body);
+  std::optional<Commands> kills = process_status_reply(target, response.body);
   if (!kills || response.status != http_status::kOk) return;
   // All other resulting commands are sent in the response to the worker's next heartbeat.
   std::erase_if(*kills, [](const Command& command) { return command.type != CommandType::kill; });
-  if (!kills->empty()) queue(machine_name, *kills);
+  if (!kills->empty()) queue(target.machine, *kills);
+}
+
+bool CommandDispatcher::has_restarted(const Target& target, const Machine& machine,
+                                      const protocol::Heartbeat& status) const {
+  return status.incarnation == target.incarnation && machine.incarnation == target.incarnation &&
+         status.sequence <= target.sequence;
 }
 
 // Processes the status returned by a worker and returns the resulting commands; none if the status
 // is malformed or proves that there is a newer leader.
-std::optional<Commands> CommandDispatcher::process_status_reply(const std::string& machine_name,
+std::optional<Commands> CommandDispatcher::process_status_reply(const Target& target,
                                                                 const std::string& status) const {
   try {
     const auto heartbeat = protocol::parse_heartbeat(status);
+    Machine* machine = cluster_.find_machine(target.machine);
+    if (machine != nullptr && has_restarted(target, *machine, heartbeat)) {
+      callbacks_.worker_restarted(*machine);
+    }
     if (heartbeat.fencing_token > callbacks_.fencing_token()) {
       callbacks_.observe_fencing_token(heartbeat.fencing_token);
       return std::nullopt;
     }
     return callbacks_.process_heartbeat(heartbeat);
   } catch (const std::exception& error) {
-    spdlog::error("malformed status: machine={} error=\"{}\"", machine_name, error.what());
+    spdlog::error("malformed status: machine={} error=\"{}\"", target.machine, error.what());
     return std::nullopt;
   }
 }
@@ -195,17 +206,21 @@
 
 void CommandDispatcher::query_status(Machine& machine) {
   machine.status_queried_at = clock_.now();
-  client_.call(machine.address, {"GET", protocol::kInspectPath, ""}, settings_.heartbeat_interval_s,
-               scope_.wrap([this, machine_name = machine.name](
-                               Outcome outcome, const transport::Response& response) {
-                 if (outcome != Outcome::answered || response.status != http_status::kOk) return;
-                 if (Machine* answering = cluster_.find_machine(machine_name)) {
-                   callbacks_.machine_answered(*answering);
-                 }
-                 // The resulting commands are sent in the response to the worker's next heartbeat.
-                 if (process_status_reply(machine_name, response.body))
-                   callbacks_.request_scheduling_cycle();
-               }));
+  if (machine.restarted) {
+    send(machine, {});
+    return;
+  }
+  client_.call(
+      machine.address, {"GET", protocol::kInspectPath, ""}, settings_.heartbeat_interval_s,
+      scope_.wrap([this, target = Target{machine.name, machine.incarnation, machine.sequence}](
+                      Outcome outcome, const transport::Response& response) {
+        if (outcome != Outcome::answered || response.status != http_status::kOk) return;
+        if (Machine* answering = cluster_.find_machine(target.machine)) {
+          callbacks_.machine_answered(*answering);
+        }
+        // The resulting commands are sent in the response to the worker's next heartbeat.
+        if (process_status_reply(target, response.body)) callbacks_.request_scheduling_cycle();
+      }));
 }
 
 void CommandDispatcher::require_fencing_of(const Machine& machine, const LaunchKey& launch) {
--- a/src/coordination/workers/command_dispatcher.hpp
+++ b/src/coordination/workers/command_dispatcher.hpp
@@ -47,6 +47,8 @@
     std::function<Commands(const protocol::Heartbeat& heartbeat)> process_heartbeat;
     /// Called when the worker on this machine has answered a call.
     std::function<void(Machine& machine)> machine_answered;
+    /// Called when the worker has lost its state since an earlier message of the same incarnation.
+    std::function<void(Machine& machine)> worker_restarted;
     /// Called when the worker on this machine has not answered a call with commands.
     std::function<void(Machine& machine)> machine_unanswered;
     /// Requests a scheduling cycle.
@@ -64,7 +66,8 @@
   void launch(Job& job, const std::vector<std::uint32_t>& tasks);
   /// Queues commands for a machine, which must be in the cluster state.
   void queue(const std::string& machine_name, const Commands& commands);
-  /// Requests the status of a worker, independently of its heartbeats.
+  /// Requests the status of a worker, independently of its heartbeats. One that has restarted is
+  /// sent a call without commands instead, which shows it the current fencing token.
   void query_status(Machine& machine);
 
   /// Requests a higher fencing token; see `raise_fencing_token_if_due`.
@@ -90,12 +93,21 @@
   void send_queued();
   void drop_stale_launches(Machine& machine, Commands& commands);
   bool is_stale_launch(const Machine& machine, const protocol::Command& command) const;
+  // What was known of a worker when a call was sent. Its answer is no copy of an earlier message,
+  // so it has a higher sequence number, unless the worker has restarted.
+  struct Target {
+    std::string machine;
+    std::uint64_t incarnation = 0;
+    std::uint64_t sequence = 0;
+  };
   void send(const Machine& machine, const Commands& commands);
-  void handle_reply(const std::string& machine_name, const Commands& commands,
-                    transport::Outcome outcome, const transport::Response& response);
+  void handle_reply(const Target& target, const Commands& commands, transport::Outcome outcome,
+                    const transport::Response& response);
+  bool has_restarted(const Target& target, const Machine& machine,
+                     const protocol::Heartbeat& status) const;
   static void resolve_launches(Machine& machine, const Commands& commands,
                                transport::Outcome outcome, int status);
-  std::optional<Commands> process_status_reply(const std::string& machine_name,
+  std::optional<Commands> process_status_reply(const Target& target,
                                                const std::string& status) const;
 
   transport::Clock& clock_;
--- a/src/coordination/workers/heartbeat_endpoint.cpp
+++ b/src/coordination/workers/heartbeat_endpoint.cpp
@@ -37,6 +37,7 @@
                                               const std::string& via, RelayRoute route,
                                               RecordsState records) {
   const Seconds now = clock_.now();
+  if (processor_.must_not_renew_lease(heartbeat)) return {http_status::kServiceUnavailable, "", 0};
   if (route == RelayRoute::direct) {
     const auto target =
         relay_assignment_.choose_redirect(heartbeat.machine, heartbeat.zone, via, now);
--- a/src/coordination/workers/heartbeat_processor.cpp
+++ b/src/coordination/workers/heartbeat_processor.cpp
@@ -48,11 +48,42 @@
          std::tie(machine.incarnation, machine.sequence);
 }
 
+bool HeartbeatProcessor::must_not_renew_lease(const protocol::Heartbeat& heartbeat) {
+  Machine* machine = cluster_.find_machine(heartbeat.machine);
+  if (machine == nullptr || heartbeat.incarnation != machine->incarnation) return false;
+  if (machine->lease_expired || machine->restarted) return true;
+  if (is_newer(heartbeat, *machine)) {
+    // A worker's token never falls, so this one has restarted and has counted up to here again.
+    const bool token_fell = heartbeat.fencing_token < machine->seen_fencing_token;
+    if (token_fell) health_.worker_restarted(*machine);
+    return token_fell;
+  }
+  health_.old_heartbeat_received(*machine);
+  // One that is newer than the last periodic heartbeat may have been overtaken by the answer to a
+  // call, and an equal one is repeated by a relay.
+  return heartbeat.sequence < machine->heartbeat_sequence;
+}
+
+// Only the answer to a call shows what the restarted process runs; none of it was placed there.
+Commands HeartbeatProcessor::kill_tasks_of_restarted_worker(const protocol::Heartbeat& heartbeat,
+                                                            HeartbeatSource source) {
+  Commands kills;
+  if (source != HeartbeatSource::call_answer) return kills;
+  for (const auto& task : heartbeat.tasks) {
+    if (task.state == protocol::TaskState::exited) continue;
+    kills.push_back({protocol::CommandType::kill, task.id, task.attempt, 0});
+  }
+  return kills;
+}
+
 Commands HeartbeatProcessor::process(const protocol::Heartbeat& heartbeat, HeartbeatSource source) {
   ++counts_.heartbeats;
   counts_.reported_tasks += heartbeat.tasks.size();
   if (is_removed(heartbeat.machine)) return {};
   Machine& machine = cluster_.machine(heartbeat.machine);
+  if (machine.restarted && heartbeat.incarnation == machine.incarnation) {
+    return kill_tasks_of_restarted_worker(heartbeat, source);
+  }
   if (!is_newer(heartbeat, machine)) return {};
   // An incarnation whose lease has expired sends no more heartbeats: this one was delayed.
   if (machine.lease_expired && heartbeat.incarnation == machine.incarnation) return {};
@@ -73,6 +104,9 @@
       health_.mark_unreachable(machine);
     }
     reconciler_.end_incarnations_before(machine, heartbeat.incarnation);
+    machine.restarted = false;
+    machine.heartbeat_sequence = 0;
+    machine.seen_fencing_token = 0;
   }
   if (new_incarnation || !machine.has_reported) {
     // The lease of an incarnation that no leader has answered counts from its beginning, which may
@@ -109,6 +143,7 @@
   machine.seen_fencing_token = std::max(machine.seen_fencing_token, heartbeat.fencing_token);
   if (machine.seen_fencing_token >= first_fencing_token_) machine.identity_confirmed = true;
   machine.last_heartbeat_at = now;
+  if (source == HeartbeatSource::worker) machine.heartbeat_sequence = heartbeat.sequence;
   if (source == HeartbeatSource::worker || machine.last_worker_heartbeat_at < 0) {
     machine.last_worker_heartbeat_at = now;
   }
--- a/src/coordination/workers/heartbeat_processor.hpp
+++ b/src/coordination/workers/heartbeat_processor.hpp
@@ -53,12 +53,18 @@
   }
   /// Whether the heartbeat is newer than the last one processed for its machine.
   static bool is_newer(const protocol::Heartbeat& heartbeat, const Machine& machine);
+  /// Whether the lease of the worker that sent this heartbeat must not be renewed: its lease has
+  /// expired for this leader, or its worker has restarted in the same incarnation. Queries the
+  /// worker if that is in doubt.
+  bool must_not_renew_lease(const protocol::Heartbeat& heartbeat);
   /// Applies the heartbeat, and returns the commands for its worker.
   Commands process(const protocol::Heartbeat& heartbeat, HeartbeatSource source);
   Counts take_counts() { return std::exchange(counts_, {}); }
 
  private:
   void begin_incarnation(Machine& machine, const protocol::Heartbeat& heartbeat);
+  static Commands kill_tasks_of_restarted_worker(const protocol::Heartbeat& heartbeat,
+                                                 HeartbeatSource source);
   void register_machine(Machine& machine, const protocol::Heartbeat& heartbeat);
   void update_machine(Machine& machine, const protocol::Heartbeat& heartbeat,
                       HeartbeatSource source);
--- a/src/coordination/workers/machine_health.cpp
+++ b/src/coordination/workers/machine_health.cpp
@@ -56,14 +56,13 @@
   std::size_t unreachable = 0;
   std::vector<std::string> to_release;
   for (auto& [name, machine] : cluster_.machines()) {
+    if (machine.restarted && !machine.being_released) query_at_most_once_per_interval(machine);
     if (machine.unreachable_since < 0 || machine.lease_expired || machine.being_released) continue;
     ++unreachable;
     // After a lease duration without an answer, the worker's lease has expired too and it runs no
     // tasks.
     if (now - machine.unreachable_since > settings_.lease_s) to_release.push_back(name);
-    if (now - machine.status_queried_at > settings_.heartbeat_interval_s) {
-      callbacks_.query_status(machine);
-    }
+    query_at_most_once_per_interval(machine);
   }
   const double max_unreachable =
       kMaxUnreachableFraction * static_cast<double>(cluster_.machines().size()) + 1;
@@ -71,6 +70,28 @@
   callbacks_.release_machines(to_release);
 }
 
+void MachineHealth::query_at_most_once_per_interval(Machine& machine) {
+  if (machine.address.empty()) return;
+  if (clock_.now() - machine.status_queried_at > settings_.heartbeat_interval_s) {
+    callbacks_.query_status(machine);
+  }
+}
+
+void MachineHealth::old_heartbeat_received(Machine& machine) {
+  query_at_most_once_per_interval(machine);
+}
+
+void MachineHealth::worker_restarted(Machine& machine) {
+  if (machine.restarted) return;
+  machine.restarted = true;
+  spdlog::info("worker restarted without its tasks: machine={} incarnation={}", machine.name,
+               machine.incarnation);
+  // The lease of its new process counts from its beginning, which may be as late as now.
+  machine.lease_renewed_at = std::max(machine.lease_renewed_at, clock_.now());
+  callbacks_.require_fencing();
+  callbacks_.query_status(machine);
+}
+
 void MachineHealth::mark_unreachable(Machine& machine) {
   if (machine.unreachable_since >= 0) return;
   machine.unreachable_since = clock_.now();
--- a/tests/command_dispatcher_test.cpp
+++ b/tests/command_dispatcher_test.cpp
@@ -61,6 +61,7 @@
               return follow_up;
             },
         .machine_answered = [this](Machine& machine) { answered.push_back(machine.name); },
+        .worker_restarted = [this](Machine& machine) { restarted.push_back(machine.name); },
         .machine_unanswered = [this](Machine& machine) { unanswered.push_back(machine.name); },
         .request_scheduling_cycle = [this] { ++requested_cycles; },
     };
@@ -97,6 +98,7 @@
   std::vector<std::uint64_t> processed;
   Commands follow_up;
   std::vector<std::string> answered;
+  std::vector<std::string> restarted;
   std::vector<std::string> unanswered;
   int requested_cycles = 0;
   CommandDispatcher dispatcher{clock, client, cluster, settings, callbacks()};
--- a/tests/delayed_launches_test.cpp
+++ b/tests/delayed_launches_test.cpp
@@ -46,5 +46,32 @@
   for (const std::uint64_t seed : {57, 94, 102, 125}) run_and_verify(kDelayedLaunches, seed);
 }
 
+// Workers restart without their tasks, some in the same incarnation, while direct commands, carried
+// out and answered before, arrive again and jobs are cancelled.
+const Scenario kRestartedWorkers = {
+    "copies_of_commands_reach_restarted_workers",
+    {.cancelled_jobs = 0.3, .duplicated_commands = 0.5, .image_fetch_time = 0.05},
+    [](World& world) {
+      for (int k = 0; k < 30; ++k) {
+        world.events.schedule_at(15 + 4 * k, [&world] {
+          for_random_workers(world, 0.05, [&world](FakeWorker& worker) {
+            if (world.random_fraction() < 0.5) {
+              worker.restart();
+            } else {
+              worker.restart_in_same_incarnation();
+            }
+          });
+          world.users.cancel_running_jobs(1);
+        });
+      }
+      world.events.schedule_at(kFaultsEnd, [&world] { world.faults.duplicated_commands = 0; });
+    }};
+
+// Guards against a cancelled task that stays on a machine whose worker has restarted in the same
+// incarnation: the leader used to take its reports for old ones and never stopped the task.
+TEST(DelayedLaunches, ReachRestartedWorkersWithoutLastingEffect) {
+  for (const std::uint64_t seed : {1, 2, 3, 4, 5, 6, 7, 8}) run_and_verify(kRestartedWorkers, seed);
+}
+
 }  // namespace
 }  // namespace larkroad::sim
--- a/tests/fakes/protocol_worker.hpp
+++ b/tests/fakes/protocol_worker.hpp
@@ -74,6 +74,16 @@
     ++incarnation_;
   }
 
+  /// Its process restarts as the same incarnation: it has no tasks, has seen no token, and counts
+  /// its messages from the beginning.
+  void restart_in_same_incarnation() {
+    tasks_.clear();
+    sequence_ = 0;
+    seen_token_ = 0;
+  }
+  /// Its process has lost the highest token that it has seen.
+  void lose_token() { seen_token_ = 0; }
+
   bool runs(const Key& key) const {
     const auto it = tasks_.find(key);
     return it != tasks_.end() && it->second.empty();
--- a/tests/machine_health_test.cpp
+++ b/tests/machine_health_test.cpp
@@ -21,6 +21,7 @@
               machine.status_queried_at = clock.now();
               queried.push_back(machine.name);
             },
+        .require_fencing = [this] { ++required_fencings; },
         .release_machines =
             [this](const std::vector<std::string>& names) {
               released.insert(released.end(), names.begin(), names.end());
@@ -46,10 +47,28 @@
   std::vector<std::string> ended;
   std::vector<std::string> queried;
   std::vector<std::string> released;
+  int required_fencings = 0;
   int requested_cycles = 0;
   MachineHealth health{clock, cluster, settings, callbacks()};
 };
 
+// Guards against tasks that are counted as gone while copies of their launches can still start
+// them.
+TEST_F(MachineHealthTest, RestartedWorkerIsFencedAndAskedUntilItsNextIncarnation) {
+  Machine& machine = add_machine("m-0");
+  machine.address = "m-0:1";
+  clock.run_for(settings.lease_s / 2);
+  health.worker_restarted(machine);
+  health.worker_restarted(machine);
+  EXPECT_EQ(required_fencings, 1);
+  EXPECT_EQ(queried.size(), 1u);
+  EXPECT_FALSE(machine.usable(clock.now(), settings.lease_s));
+  EXPECT_EQ(machine.lease_renewed_at, clock.now());
+  clock.run_for(settings.heartbeat_interval_s + 0.1);
+  health.check_unreachable();
+  EXPECT_EQ(queried.size(), 2u);
+}
+
 TEST_F(MachineHealthTest, LeaseExpiresOnceAfterTheClockDriftMargin) {
   Machine& machine = add_machine("m-0");
   clock.run_for(settings.lease_s);
--- a/tests/sim/fake_worker.hpp
+++ b/tests/sim/fake_worker.hpp
@@ -44,13 +44,17 @@
   FakeWorker(World& world, std::string machine, std::string network_address,
              std::string machine_type, std::string its_zone, bool is_spot);
 
-  /// Called when the machine has booted.
+  /// Called when the machine has booted. Until then it answers nobody.
   void start();
+  bool is_up() const { return up_ && !terminated; }
   void handle(const Request& request, const Respond& respond);
   /// Terminates the machine and everything on it.
   void terminate();
   /// Restarts the worker immediately at the same address, as a new incarnation without tasks.
   void restart();
+  /// Restarts it without tasks, but in the same incarnation: it has seen no fencing token and
+  /// counts its messages from the beginning.
+  void restart_in_same_incarnation();
   /// The cloud announces that it will reclaim this spot instance after `notice`.
   void reclaim_in(Seconds notice);
   /// From now on every task fails when it starts.
@@ -106,6 +110,7 @@
   std::map<Key, Task> tasks_;
   std::uint64_t incarnation_ = 1;
   std::uint64_t sequence_ = 0;
+  std::uint64_t process_ = 1;  // of the worker; replies to an earlier one are lost
   std::uint64_t fencing_token_ = 0;
   /// Send time of the latest heartbeat that has been answered.
   Seconds lease_renewed_at_ = 0;
@@ -114,6 +119,7 @@
   EventQueue::EventId next_heartbeat_ = 0;
   bool heartbeat_in_flight_ = false;
   bool changed_since_heartbeat_ = false;
+  bool up_ = false;
   bool faulty_ = false;
   Seconds hung_until_ = 0;
   size_t controller_ = 0;  // index of the controller that receives the heartbeats
--- a/tests/task_reconciler_test.cpp
+++ b/tests/task_reconciler_test.cpp
@@ -44,6 +44,7 @@
         .observe_fencing_token = [](std::uint64_t) {},
         .process_heartbeat = [](const protocol::Heartbeat&) { return Commands{}; },
         .machine_answered = [](Machine&) {},
+        .worker_restarted = [](Machine&) {},
         .machine_unanswered = [](Machine&) {},
         .request_scheduling_cycle = [] {},
     };
