--- a/src/coordination/cluster_state/machine.cpp
+++ b/src/coordination/cluster_state/machine.cpp
@@ -12,8 +12,8 @@
 
 bool Machine::usable(Seconds now, Seconds max_heartbeat_age) const {
   return now - last_worker_heartbeat_at <= max_heartbeat_age && has_reported &&
-         identity_confirmed && unreachable_since < 0 && !lease_expired && !restarted && !being_released &&
-         !quarantined && !reclaim_at && now >= refused_until && !address.empty();
+         identity_confirmed && unreachable_since < 0 && !lease_expired && !restarted &&
+         !being_released && !quarantined && !reclaim_at && now >= refused_until && !address.empty();
 }
 
 void Machine::touch_image(const std::string& image, double gb, double cache_gb, Seconds now) {
--- a/src/coordination/cluster_state/machine.hpp
+++ b/src/coordination/cluster_state/machine.hpp
@@ -41,7 +41,7 @@
   std::uint64_t heartbeat_sequence = 0;  ///< sequence number of its newest periodic heartbeat
   /// The highest fencing token that it has reported in this incarnation.
   std::uint64_t seen_fencing_token = 0;
-  Seconds rented_at = 0;                 ///< when it was requested from the cloud
+  Seconds rented_at = 0;  ///< when it was requested from the cloud
   /// Time of the newest heartbeat, sent periodically or in response to a call; -1: none.
   Seconds last_heartbeat_at = -1;
   /// Time of the newest periodic heartbeat; until there is one, of the first heartbeat of any kind.
@@ -58,8 +58,8 @@
   /// Its worker has restarted without its tasks, but in the same incarnation. Its lease is not
   /// renewed any more, so that it must begin the next one.
   bool restarted = false;
-  Seconds lease_expired_at = -1;      ///< when the expiry was detected; -1: never
-  bool being_released = false;        ///< is being returned to the cloud
+  Seconds lease_expired_at = -1;  ///< when the expiry was detected; -1: never
+  bool being_released = false;    ///< is being returned to the cloud
   int retained_exits = 0;    ///< exited tasks in its last heartbeat that it must not discard yet
   bool quarantined = false;  ///< excluded from placement because all tasks fail on it
   /// Failures of tasks of jobs that are not faulty themselves, since a task last succeeded on it.
